--- a/sagegap/__init__.py
+++ b/calicohitch/__init__.py
@@ -1,4 +1,4 @@
-"""sagegap: the decisions of an outbound gateway's couriers."""
+"""calicohitch: the decisions of an outbound relay."""
 
 from .interface import Settings
 from .rules import Sender
--- /dev/null
+++ b/calicohitch/net/__init__.py
@@ -0,0 +1,1 @@
+"""The relay on real sockets."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from sagegap import interface as i
-from sagegap.rules import SECOND, Sender
+from calicohitch import interface as i
+from calicohitch.rules import SECOND, Sender
 
 MS = 1_000
 SAFE, KEYED, UNSAFE, ORDERED = range(4)
--- a/tests/test_many_couriers.py
+++ b/tests/test_many_couriers.py
@@ -5,8 +5,8 @@
 import pytest
 from conftest import KEYED, MS, ORDERED, SAFE, UNSAFE, Courier, answers, sends
 
-from sagegap import interface as i
-from sagegap.rules import SECOND, Sender
+from calicohitch import interface as i
+from calicohitch.rules import SECOND, Sender
 
 
 def among_many(**changes: object) -> Courier:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -5,8 +5,8 @@
 import pytest
 from conftest import CLASSES, KEYED, MS, SAFE, UNSAFE, Courier, answers, sends
 
-from sagegap import interface as i
-from sagegap.rules import SECOND, conformance, penalty
+from calicohitch import interface as i
+from calicohitch.rules import SECOND, conformance, penalty
 
 
 @pytest.mark.parametrize(
--- a/tests/test_six_rules.py
+++ b/tests/test_six_rules.py
@@ -9,8 +9,8 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from sagegap import interface as i
-from sagegap.rules import SECOND
+from calicohitch import interface as i
+from calicohitch.rules import SECOND
 
 BAD = [o for o in i.Outcome if o is not i.Outcome.OK]
 STEP = st.tuples(
