--- /dev/null
+++ b/calicohitch/__main__.py
@@ -0,0 +1,7 @@
+"""`python -m calicohitch`."""
+
+import sys
+
+from .cli import main
+
+sys.exit(main())
--- a/calicohitch/interface.py
+++ b/calicohitch/interface.py
@@ -193,9 +193,18 @@
 # Events: what the courier has seen.
 
 
+@dataclass(frozen=True, slots=True)
+class EarlierAttempt:
+    """An attempt that an earlier life of this courier made at a message which it took on."""
+
+    sent_at: int
+    zone: int
+    may_have_run: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Arrived:
-    """A new message, the Sender's to end exactly once."""
+    """A new message, the Sender's to end exactly once; `earlier` is not empty after a restart only."""
 
     message: int
     class_index: int
@@ -206,6 +215,7 @@
     work: int = 0
     handed_in_again: bool = False
     from_dead_courier: bool = False
+    earlier: tuple[EarlierAttempt, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/calicohitch/net/endpoints.py
@@ -0,0 +1,180 @@
+"""Calls to endpoints, over pools of warm connections."""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from dataclasses import dataclass
+
+import anyio
+
+from ..clock import Clock
+from ..config import Address
+from ..interface import Outcome
+from .http import ClientConnection, Headers, Response
+
+_IDLE_SHARE = 0.9  # of the time after which endpoints close an idle connection: ours go before
+_MAX_WAIT_MS = 3_600_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One attempt as it goes to an endpoint; `timeout` in milliseconds."""
+
+    id: str
+    key: str | None
+    body: bytes
+    timeout: float
+
+    def headers(self, address: Address) -> Headers:
+        named = [
+            (b"Host", str(address)),
+            (b"Req-Id", self.id),
+            (b"Req-Deadline-Ms", str(max(1, math.ceil(self.timeout)))),
+        ]
+        if self.key is not None:
+            named.append((b"Idempotency-Key", self.key))
+        return [(name, value.encode("latin-1")) for name, value in named]
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """How a call ended; `ended`: nothing more is owed for its message. `wait` in milliseconds."""
+
+    outcome: Outcome
+    ended: bool = False
+    wait: float = 0.0
+    slots_taken: bool = False
+    report: tuple[float, ...] = ()
+
+
+def result_of(response: Response, fields: tuple[str, ...]) -> Result:
+    """What an endpoint's answer means."""
+    headers, report = response.headers, read_report(response.headers.get(b"srv-load", b""), fields)
+    match response.status:
+        case 200:
+            return Result(Outcome.OK, ended=True, report=report)
+        case 410:
+            return Result(Outcome.MOOT, ended=True, report=report)
+        case 504:
+            return Result(Outcome.MOOT, report=report)
+        case 503 if headers.get(b"slots-taken") == b"1":
+            return Result(Outcome.MOOT, slots_taken=True, report=report)
+        case 429 | 503:
+            return Result(Outcome.FULL, wait=read_wait(headers.get(b"wait-ms", b"")), report=report)
+    return Result(Outcome.ERROR, report=report)
+
+
+def read_wait(text: bytes) -> float:
+    """Milliseconds; nothing that can be used counts as no wait told."""
+    wait = _number(text)
+    return min(wait, _MAX_WAIT_MS) if wait is not None and wait > 0 else 0.0
+
+
+def read_report(text: bytes, fields: tuple[str, ...]) -> tuple[float, ...]:
+    """The values of `x0=0.4,x1=25` in the order of the settings; one that cannot be read voids the report."""
+    told = dict(part.strip().partition(b"=")[::2] for part in text.split(b","))
+    values = [_number(told.get(name.encode(), b"")) for name in fields]
+    return tuple(value for value in values if value is not None) if None not in values else ()
+
+
+def _number(text: bytes) -> float | None:
+    try:
+        value = float(text)
+    except ValueError:
+        return None
+    return value if math.isfinite(value) else None
+
+
+class Endpoints:
+    """The connections to all endpoints. At most `most` are open; the longest idle one makes room."""
+
+    def __init__(
+        self, clock: Clock, fields: tuple[str, ...], idle_ms: float, connect_ms: float, most: int
+    ) -> None:
+        self._clock, self._fields, self._connect_s, self._most = clock, fields, connect_ms / 1e3, most
+        self._idle_ms = idle_ms * _IDLE_SHARE or math.inf
+        self._idle: dict[int, deque[ClientConnection]] = {}
+        self._open = 0
+
+    async def call(self, endpoint: int, address: Address, call: Call, scope: anyio.CancelScope) -> Result:
+        """One attempt. Where it did not end well the connection is closed; there is no hidden resend."""
+        connection: ClientConnection | None = None
+        response: Response | None = None
+        deadline = anyio.current_time() + call.timeout / 1e3
+        timer = anyio.CancelScope(deadline=deadline)
+        try:
+            with scope, timer:
+                connection = self._warm(endpoint)
+                if connection is None:
+                    connection = await self._connect(address)
+                response = await connection.request("POST", "/v1/messages", call.headers(address), call.body)
+        except (OSError, TimeoutError):
+            never = connection is None or not connection.sent
+            return Result(Outcome.CONNECT_FAILED if never else Outcome.RESET)
+        finally:
+            if connection is not None:
+                self._give_back(endpoint, connection, response is not None)
+        if response is None and connection is not None:
+            response = connection.head  # its body was cut short, but the answer is there
+        if response is not None:
+            return result_of(response, self._fields)
+        if connection is None or not connection.sent:
+            return Result(Outcome.CONNECT_FAILED)
+        return Result(Outcome.TIMEOUT if timer.cancelled_caught else Outcome.CANCELLED)
+
+    async def _connect(self, address: Address) -> ClientConnection:
+        if self._open >= self._most and not self._close_longest_idle():
+            raise OSError("no descriptor is left for a connection")
+        self._open += 1
+        try:
+            with anyio.fail_after(self._connect_s):
+                return await ClientConnection.open(address)
+        except BaseException:
+            self._open -= 1
+            raise
+
+    def _warm(self, endpoint: int) -> ClientConnection | None:
+        """The idle connection that was used last, if it can still be used: the others may then grow old."""
+        pool = self._idle.get(endpoint, deque())
+        while pool:
+            connection = pool.pop()
+            if connection.reusable and connection.idle_since > self._clock.now() - self._idle_ms:
+                return connection
+            self._close(connection)
+        return None
+
+    def _give_back(self, endpoint: int, connection: ClientConnection, ended_well: bool) -> None:
+        if ended_well and connection.reusable:
+            connection.idle_since = self._clock.now()
+            self._idle.setdefault(endpoint, deque()).append(connection)
+        else:
+            self._close(connection)
+
+    def _close(self, connection: ClientConnection) -> None:
+        connection.close()
+        self._open -= 1
+
+    def _close_longest_idle(self) -> bool:
+        pools = [pool for pool in self._idle.values() if pool]
+        if pools:
+            self._close(min(pools, key=lambda pool: pool[0].idle_since).popleft())
+        return bool(pools)
+
+    def close_idle(self, endpoint: int) -> None:
+        for connection in self._idle.pop(endpoint, ()):
+            self._close(connection)
+
+    def close_old(self) -> None:
+        """Close what has long stood idle, before the endpoints do: a request that crosses that is lost."""
+        before = self._clock.now() - self._idle_ms
+        for endpoint, pool in list(self._idle.items()):
+            while pool and (pool[0].idle_since <= before or not pool[0].reusable):
+                self._close(pool.popleft())
+            if not pool:
+                del self._idle[endpoint]
+
+    async def run(self) -> None:
+        while True:
+            await anyio.sleep(0.25)
+            self.close_old()
--- /dev/null
+++ b/calicohitch/net/http.py
@@ -0,0 +1,250 @@
+"""Connections that speak HTTP/1.1 by h11, on non-blocking sockets whose every wait can be cancelled.
+
+The sockets are used directly: a call's outcome depends on whether its last byte was handed to the kernel.
+"""
+
+from __future__ import annotations
+
+import os
+import socket
+from dataclasses import dataclass
+
+import anyio
+import h11
+
+from ..config import Address
+
+MAX_BODY = 64 << 10
+_READ = 64 << 10
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class BodyTooLarge(Exception):
+    """A body of more than 64 KiB."""
+
+
+def _family(address: Address) -> socket.AddressFamily:
+    return socket.AF_INET6 if ":" in address.host else socket.AF_INET
+
+
+def listen(address: Address, backlog: int = 1024) -> socket.socket:
+    sock = socket.socket(_family(address), socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((address.host, address.port))
+        sock.listen(backlog)
+        sock.setblocking(False)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+class Link:
+    """One TCP connection; only the task that uses it closes it."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._sock = sock
+
+    @classmethod
+    async def connect(cls, address: Address) -> Link:
+        link = cls(socket.socket(_family(address), socket.SOCK_STREAM))
+        try:
+            if link._sock.connect_ex((address.host, address.port)):
+                await anyio.wait_writable(link._sock)
+                if code := link._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                    raise OSError(code, os.strerror(code))
+        except BaseException:
+            link.close()
+            raise
+        return link
+
+    async def receive(self) -> bytes:
+        while True:
+            try:
+                return self._sock.recv(_READ)
+            except BlockingIOError:
+                await anyio.wait_readable(self._sock)
+
+    async def send(self, data: bytes) -> None:
+        """Returns once the last byte is handed to the kernel."""
+        left = memoryview(data)
+        while left:
+            try:
+                left = left[self._sock.send(left) :]
+            except BlockingIOError:
+                await anyio.wait_writable(self._sock)
+
+    def is_quiet(self) -> bool:
+        """Open, as far as this side has been told, with nothing unread."""
+        try:
+            self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def has_ended(self) -> bool:
+        """The other side has closed the connection, or its sending on it."""
+        try:
+            return not self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
+    def end_sending(self) -> None:
+        self._sock.shutdown(socket.SHUT_WR)
+
+    def close(self) -> None:
+        self._sock.close()
+
+
+@dataclass(frozen=True, slots=True)
+class Response:
+    status: int
+    headers: dict[bytes, bytes]
+    body: bytes = b""
+
+
+class ClientConnection:
+    """A connection to a server, for one request at a time."""
+
+    def __init__(self, link: Link, max_body: int = MAX_BODY, needs_body: bool = False) -> None:
+        self._link, self._max_body, self._needs_body = link, max_body, needs_body
+        self._http = h11.Connection(h11.CLIENT)
+        self.sent = False  # whether the last byte of the present request was handed to the kernel
+        self.head: Response | None = None  # the present response as far as its headers
+        self.idle_since = 0.0
+
+    @classmethod
+    async def open(
+        cls, address: Address, max_body: int = MAX_BODY, needs_body: bool = False
+    ) -> ClientConnection:
+        return cls(await Link.connect(address), max_body, needs_body)
+
+    @property
+    def reusable(self) -> bool:
+        return self._http.our_state is h11.IDLE and self._link.is_quiet()
+
+    def close(self) -> None:
+        self._link.close()
+
+    async def request(self, method: str, target: str, headers: Headers, body: bytes = b"") -> Response:
+        """The server's response; OSError where the connection ends before its first line is here."""
+        self.sent, self.head = False, None
+        if body or method == "POST":
+            headers = [*headers, (b"Content-Length", str(len(body)).encode())]
+        parts = [self._http.send(h11.Request(method=method, target=target, headers=headers))]
+        if body:
+            parts.append(self._http.send(h11.Data(data=body)))
+        parts.append(self._http.send(h11.EndOfMessage()))
+        await self._link.send(b"".join(part for part in parts if part))
+        self.sent = True
+        return await self._response()
+
+    async def _response(self) -> Response:
+        body = bytearray()
+        try:
+            while not isinstance(event := self._http.next_event(), h11.EndOfMessage):
+                if event is h11.NEED_DATA:
+                    self._http.receive_data(await self._link.receive())
+                elif isinstance(event, h11.Response):
+                    self.head = Response(event.status_code, dict(event.headers))
+                elif isinstance(event, h11.Data):
+                    body += event.data
+                elif isinstance(event, h11.ConnectionClosed):
+                    raise ConnectionResetError("closed without a response")
+                if len(body) > self._max_body:
+                    raise ConnectionResetError("the response is too long")
+            if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
+                self._http.start_next_cycle()
+        except (h11.RemoteProtocolError, OSError) as err:
+            if self.head is None or self._needs_body:
+                raise ConnectionResetError(str(err)) from err
+        assert self.head is not None
+        return Response(self.head.status, self.head.headers, bytes(body))
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    method: str
+    path: str
+    headers: dict[bytes, bytes]
+    body: bytes
+
+
+class ServerConnection:
+    """A connection from a client, which sends one request at a time."""
+
+    def __init__(self, link: Link) -> None:
+        self._link = link
+        self._http = h11.Connection(h11.SERVER)
+
+    def client_left(self) -> bool:
+        return self._link.has_ended()
+
+    async def started(self) -> bool:
+        """Waits for the first bytes of the next request; False if the client ended the connection instead."""
+        if not self._http.trailing_data[0]:
+            data = await self._link.receive()
+            self._http.receive_data(data)
+            return bool(data)
+        return True
+
+    async def request(self) -> Request | None:
+        """The rest of the request that has started; None if the client left. Raises what h11 finds broken."""
+        head: h11.Request | None = None
+        body = bytearray()
+        while not isinstance(event := self._http.next_event(), h11.EndOfMessage):
+            if event is h11.NEED_DATA:
+                if self._http.they_are_waiting_for_100_continue:
+                    go_on = h11.InformationalResponse(status_code=100, headers=[])
+                    await self._link.send(self._http.send(go_on) or b"")
+                self._http.receive_data(await self._link.receive())
+            elif isinstance(event, h11.Request):
+                head = event
+                if int(dict(event.headers).get(b"content-length", b"0")) > MAX_BODY:
+                    raise BodyTooLarge
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > MAX_BODY:
+                    raise BodyTooLarge
+            elif isinstance(event, h11.ConnectionClosed):
+                return None
+        assert head is not None
+        path = head.target.decode("ascii", "replace").partition("?")[0]
+        return Request(head.method.decode("ascii", "replace"), path, dict(head.headers), bytes(body))
+
+    async def respond(
+        self, status: int, headers: Headers | None = None, body: bytes = b"", close: bool = False
+    ) -> None:
+        headers = [*(headers or []), (b"Content-Length", str(len(body)).encode())]
+        if close:
+            headers.append((b"Connection", b"close"))
+        data = self._http.send(h11.Response(status_code=status, headers=headers)) or b""
+        if body:
+            data += self._http.send(h11.Data(data=body)) or b""
+        data += self._http.send(h11.EndOfMessage()) or b""
+        await self._link.send(data)
+
+    def next(self) -> bool:
+        """Ready for one more request; False where the connection is to be closed."""
+        if self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
+            return False
+        self._http.start_next_cycle()
+        return True
+
+    async def linger(self) -> None:
+        """Guards a reply to a request that was not read whole: closing at once would reset the connection
+        and take the reply with it."""
+        self._link.end_sending()
+        while await self._link.receive():
+            pass
+
+    def close(self) -> None:
+        self._link.close()
--- /dev/null
+++ b/calicohitch/net/relay.py
@@ -0,0 +1,285 @@
+"""One relay: it owns the decisions and the open messages, feeds events to them and carries out their actions.
+
+How a message is handed in is none of its business: any server may put a protocol before `take`.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+from collections import deque
+from dataclasses import dataclass, field
+from enum import Enum
+
+import anyio
+from anyio.abc import TaskGroup
+from loguru import logger
+
+from .. import interface as i
+from ..clock import Clock, to_micros, to_ms
+from ..config import Config
+from ..journal import End, Entry, Journal, JournalFull
+from ..rules import Sender
+from .discovery import Directory, Discovery, ListError
+from .endpoints import Call, Endpoints, Result
+from .notices import Notice, Notices
+from .peers import Peers
+
+_SPARE_SOCKETS = 24  # the listener, discovery, notices, notes, the journal, and what the interpreter holds
+
+
+class Refusal(Enum):
+    """Why a message was not taken on."""
+
+    STOPPING = "the relay is stopping"
+    FULL = "no room for another message"
+
+
+@dataclass(frozen=True, slots=True)
+class Submission:
+    """A message as it is handed in, in whatever protocol. `time_left` in milliseconds."""
+
+    id: str
+    class_index: int
+    dest: int
+    time_left: float
+    key: str | None
+    body: bytes
+    handed_in_again: bool = False
+    from_dead_relay: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class _Open:
+    """A message that is owed its end."""
+
+    entry: Entry
+    attempts: int
+    accepted: bool = False  # the decisions have it
+    calls: dict[int, anyio.CancelScope] = field(default_factory=dict)
+
+
+class Relay:
+    """Decisions on sockets. `run` serves until it is cancelled; `take` hands a message in."""
+
+    def __init__(self, config: Config, clock: Clock, journal: Journal) -> None:
+        self._config, self._clock, self._journal = config, clock, journal
+        settings = config.settings
+        self._sender = Sender(settings, config.seed)
+        self._open: dict[int, _Open] = {}
+        self._by_id: dict[str, int] = {}
+        self._events: deque[i.Event] = deque()
+        self._feeding = False
+        self._timers: list[tuple[float, int]] = []
+        self._timer_set = anyio.Event()
+        self._tasks: TaskGroup | None = None
+        self.ready = self.stopping = False
+        self.max_clients = config.limits.sockets // 2
+        self._directory = Directory(config.names)
+        self._discovery = Discovery(config.discovery, self._directory, self.feed)
+        self._notices = Notices(config.discovery, journal.closed)
+        self._endpoints = Endpoints(
+            clock,
+            tuple(report.name for report in settings.reports),
+            to_ms(settings.idle_time),
+            to_ms(settings.connect_timeout),
+            most=config.limits.sockets - self.max_clients - _SPARE_SOCKETS,
+        )
+        self._peers: Peers | None = None
+        if settings.may_tell and config.peer_listen:
+            self._peers = Peers(config.peer_listen, config.peers, config.peers_all)
+
+    async def run(self) -> None:
+        """Take up what an earlier life left open, then serve."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            tasks.start_soon(self._ring)
+            tasks.start_soon(self._notices.run)
+            tasks.start_soon(self._endpoints.run)
+            if self._peers:
+                tasks.start_soon(self._peers.run, lambda peer, data: self.feed(i.PeerSaid(peer, data)))
+            self._recover()
+            tasks.start_soon(self._discovery.run)
+            with anyio.move_on_after(1.0):  # a silent discovery does not keep the relay from serving
+                await self._discovery.heard.wait()
+            self.ready = True
+
+    @property
+    def idle(self) -> bool:
+        """Nothing is owed to anyone."""
+        return not self._open and not len(self._notices)
+
+    def take(self, told: Submission) -> int | Refusal:
+        """Journal a message. `accept` must follow once its client was told, or `withdraw` if it was not."""
+        if told.id in self._by_id:  # the client sent its request again; it is taken on already
+            return self._by_id[told.id]
+        if self.stopping:
+            return Refusal.STOPPING
+        if len(self._open) >= self._config.settings.open_cap or not self._journal.has_room(len(told.body)):
+            return Refusal.FULL
+        number = self._journal.next_number
+        longest = to_ms(self._config.settings.classes[told.class_index].deadline)
+        deadline = self._clock.now() + min(max(told.time_left, 0.0), longest)
+        class_name = self._config.names.classes[told.class_index]
+        entry = Entry(number, told.id, class_name, told.dest, deadline, told.key, told.body)
+        try:
+            self._journal.taken(entry)
+        except JournalFull as err:
+            logger.error("journal: {}", err)
+            return Refusal.FULL
+        self._open[number] = _Open(entry, 0)
+        self._by_id[told.id] = number
+        return number
+
+    def accept(self, number: int, told: Submission) -> None:
+        """The client knows that its message is taken on: the decisions may have it."""
+        message = self._open.get(number)
+        if message and not message.accepted:
+            message.accepted = True
+            left = to_micros(message.entry.deadline - self._clock.now())
+            self.feed(i.Arrived(number, told.class_index, told.dest, max(0, left),
+                handed_in_again=told.handed_in_again, from_dead_courier=told.from_dead_relay))
+
+    def withdraw(self, number: int) -> None:
+        """The client left before it was told: nothing is owed, and it may hand the message in elsewhere."""
+        message = self._open.get(number)
+        if message and not message.accepted:
+            self._forget(number)
+            self._journal.closed(number)
+
+    def feed(self, *events: i.Event) -> None:
+        """Tell the decisions what was seen, and do what they answer."""
+        self._events.extend(events)
+        if self._feeding:
+            return
+        self._feeding = True
+        try:
+            while self._events:
+                batch = list(self._events)
+                self._events.clear()
+                for action in self._sender.handle(to_micros(self._clock.now()), batch):
+                    self._do(action)
+        finally:
+            self._feeding = False
+
+    def _do(self, action: i.Action) -> None:
+        match action:
+            case i.Send(message, endpoint, timeout):
+                self._send(message, endpoint, timeout)
+            case i.Refuse(message, retry_after):
+                self._end(message, End(True, to_ms(retry_after)))
+            case i.Fail(message):
+                self._end(message, End(False))
+            case i.Cancel(message, attempt):
+                if (found := self._open.get(message)) and attempt in found.calls:
+                    found.calls[attempt].cancel()
+            case i.SetTimer(delay, token):
+                heapq.heappush(self._timers, (self._clock.now() + to_ms(delay), token))
+                self._timer_set.set()
+            case i.CloseIdle(endpoint):
+                self._endpoints.close_idle(endpoint)
+            case i.Tell(peer, data) if self._peers:
+                self._peers.tell(peer, data)
+            case i.Log(text):
+                logger.info("decisions: {}", text)
+            case _:  # changes of the list always come unasked, and no site that runs a relay allows probes
+                pass
+
+    def _send(self, number: int, endpoint: int, timeout: int) -> None:
+        message, now = self._open[number], self._clock.now()
+        attempt = message.attempts
+        message.attempts += 1
+        left = max(1.0, message.entry.deadline - now)
+        entry, timeout_ms = message.entry, min(to_ms(timeout) or left, left)
+        call = Call(entry.id, entry.key, entry.body, timeout_ms)
+        try:
+            self._journal.attempt(number, now, self._directory.zone(endpoint))
+        except JournalFull as err:
+            logger.error("journal: {}", err)
+            self._settled(message, attempt, endpoint, now, Result(i.Outcome.MOOT))
+            return
+        scope = message.calls[attempt] = anyio.CancelScope()
+        assert self._tasks is not None
+        self._tasks.start_soon(self._call, message, attempt, endpoint, call, scope, now)
+
+    async def _call(self, message: _Open, attempt: int, endpoint: int, call: Call,
+                    scope: anyio.CancelScope, sent_at: float) -> None:
+        try:
+            result = await self._endpoints.call(endpoint, self._directory.address(endpoint), call, scope)
+        except Exception:  # guards all other messages against a fault in the handling of one
+            logger.exception("a call broke off")
+            result = Result(i.Outcome.RESET)
+        self._settled(message, attempt, endpoint, sent_at, result)
+
+    def _settled(self, message: _Open, attempt: int, endpoint: int, sent_at: float, result: Result) -> None:
+        number = message.entry.number
+        message.calls.pop(attempt, None)
+        if result.ended:
+            self._forget(number)
+        try:
+            if result.ended:
+                self._journal.closed(number)
+            else:
+                self._journal.outcome(number, attempt, not result.outcome.never_ran)
+        except JournalFull as err:  # after a restart the attempt counts as one that may have run
+            logger.error("journal: {}", err)
+        took = to_micros(self._clock.now() - sent_at)
+        self.feed(i.Settled(number, attempt, endpoint, result.outcome, took, result.ended,
+            to_micros(math.ceil(result.wait)), result.slots_taken, result.report))
+
+    def _end(self, number: int, end: End) -> None:
+        if (message := self._forget(number)) is None:
+            return
+        try:
+            self._journal.end(number, end)
+        except JournalFull as err:  # after a restart the decisions come to an end of their own
+            logger.error("journal: {}", err)
+        self._notices.add(Notice(number, message.entry.id, end))
+
+    def _forget(self, number: int) -> _Open | None:
+        message = self._open.pop(number, None)
+        if message:
+            self._by_id.pop(message.entry.id, None)
+        return message
+
+    def _recover(self) -> None:
+        """Tell the decisions what an earlier life left open, and send the notices that it still owes."""
+        if self._config.known:
+            try:
+                self.feed(self._directory.read(self._config.known).told(cached=True))
+            except ListError as err:
+                logger.warning("the list in the configuration is left out: {}", err)
+        now, arrived = self._clock.now(), []
+        for entry in list(self._journal.entries.values()):
+            if entry.end:
+                self._notices.add(Notice(entry.number, entry.id, entry.end))
+            elif entry.class_name not in self._config.names.classes:
+                self._notices.add(Notice(entry.number, entry.id, End(False)))
+            else:
+                self._open[entry.number] = _Open(entry, len(entry.attempts), accepted=True)
+                self._by_id[entry.id] = entry.number
+                earlier = tuple(i.EarlierAttempt(to_micros(was.sent_at), was.zone, was.may_have_run)
+                                for was in entry.attempts)
+                arrived.append(i.Arrived(entry.number, self._config.names.classes.index(entry.class_name),
+                    entry.dest, max(0, to_micros(entry.deadline - now)), earlier=earlier))
+        if self._journal.entries:
+            logger.info("from the journal: {} messages, {} notices", len(arrived), len(self._notices))
+        self._journal.entries.clear()
+        self.feed(*arrived)
+
+    async def _ring(self) -> None:
+        """Wake the decisions when a timer of theirs is due."""
+        while True:
+            self._timer_set = anyio.Event()
+            wait = (self._timers[0][0] - self._clock.now()) / 1e3 if self._timers else math.inf
+            if wait > 0:
+                with anyio.move_on_after(wait):
+                    await self._timer_set.wait()
+            else:
+                self.feed(i.Rang(heapq.heappop(self._timers)[1]))
+                await anyio.sleep(0)
+
+    def close(self) -> None:
+        if self._peers:
+            self._peers.close()
+        self._journal.close()
--- a/calicohitch/rules.py
+++ b/calicohitch/rules.py
@@ -136,6 +136,8 @@
         self._dests[message.dest].came += 1
         if cls.in_order and told.key:
             self._lanes.setdefault(told.key, []).append(message)
+        if message.attempts >= self._set.max_attempts:  # all made before a restart
+            self._give_up(message)
 
     def _hold(self, message: Message) -> None:
         dest = self._dests[message.dest]
--- a/calicohitch/state.py
+++ b/calicohitch/state.py
@@ -31,12 +31,13 @@
         self.id, self.dest, self.cls, self.worth, self.told = told.message, told.dest, cls, worth, told
         self.deadline_at = now + told.time_left
         self.aim_at = self.deadline_at - cls.deadline + cls.aim
-        self.attempts = 0
+        self.attempts = len(told.earlier)
         self.over = False
         self.refused = False  # by its last attempt
         self.rank: tuple[bool, bool, float, bool] = (False, False, 0.0, False)
         self.calls: dict[int, Call] = {}
-        self.may_have_run: dict[int, tuple[int, int]] = {}  # attempt -> time sent, zone
+        self.may_have_run = {  # attempt -> time sent, zone
+            n: (was.sent_at, was.zone) for n, was in enumerate(told.earlier) if was.may_have_run}
         self.last: Endpoint | None = None
 
     def key_until(self) -> int:
