Do not send a call whose connection came up after a drain, a told wait or the key's window

Relay._wanted now asks once the connection is up, and such a call is moot; the connection is kept. For the key's window the module says how long (Send.not_after). Watches are 2 s long: news that a lost watch holds back counts as told 2 s after its end, and the old one of 20 s was asked again only 3 s after that.

--- a/calicohitch/interface.py
+++ b/calicohitch/interface.py
@@ -291,11 +291,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Call an endpoint with the message. `timeout` 0: until the client quits."""
+    """Call an endpoint with the message. `timeout` 0: until the client quits.
+    `not_after`: where a connection comes up later than this, the call is moot; 0: no such limit."""
 
     message: int
     endpoint: int
     timeout: int = 0
+    not_after: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/calicohitch/journal.py
+++ b/calicohitch/journal.py
@@ -19,7 +19,7 @@
 _FRAME = struct.Struct(">II")  # length and checksum of what follows
 _HEAD = struct.Struct(">BQ")  # kind of record, message
 _TAKEN = struct.Struct(">dH")  # deadline, length of the JSON before the body
-_ATTEMPT = struct.Struct(">dH")  # time sent, zone
+_ATTEMPT = struct.Struct(">HdH")  # attempt, time sent, zone
 _OUTCOME = struct.Struct(">HB")  # attempt, whether it may have run
 _END = struct.Struct(">Bd")  # handed back or given up, advice
 _BLOCK = 512  # the platform counts each file in whole blocks of this size
@@ -120,8 +120,8 @@
         segment.open += 1
         self.next_number = max(self.next_number, entry.number + 1)
 
-    def attempt(self, number: int, sent_at: float, zone: int) -> None:
-        self._append(_Kind.ATTEMPT, number, _ATTEMPT.pack(sent_at, zone))
+    def attempt(self, number: int, attempt: int, sent_at: float, zone: int) -> None:
+        self._append(_Kind.ATTEMPT, number, _ATTEMPT.pack(attempt, sent_at, zone))
 
     def outcome(self, number: int, attempt: int, may_have_run: bool) -> None:
         self._append(_Kind.OUTCOME, number, _OUTCOME.pack(attempt, may_have_run))
@@ -199,10 +199,14 @@
         elif (entry := self.entries.get(number)) is None:
             return  # of a message that is over, whose segment is gone
         elif kind == _Kind.ATTEMPT:
-            entry.attempts.append(Attempt(*_ATTEMPT.unpack(rest)))
+            attempt, sent_at, zone = _ATTEMPT.unpack(rest)
+            while len(entry.attempts) < attempt:  # one that could not be written was not made
+                entry.attempts.append(Attempt(sent_at, zone, may_have_run=False))
+            entry.attempts.append(Attempt(sent_at, zone))
         elif kind == _Kind.OUTCOME:
             attempt, may_have_run = _OUTCOME.unpack(rest)
-            entry.attempts[attempt].may_have_run = bool(may_have_run)
+            if attempt < len(entry.attempts):
+                entry.attempts[attempt].may_have_run = bool(may_have_run)
         elif kind == _Kind.END:
             handed_back, retry_in = _END.unpack(rest)
             entry.end = End(bool(handed_back), retry_in)
--- a/calicohitch/net/clients.py
+++ b/calicohitch/net/clients.py
@@ -17,7 +17,7 @@
 _REPLY_S = 5.0
 _LINGER_S = 1.0
 _BUSY_RETRY_S = "1"
-_STOPPING_RETRY_S = "0.1"  # another relay can take it at once
+_ELSEWHERE_RETRY_S = "0.1"  # another relay can take it at once
 
 
 class BadRequest(Exception):
@@ -74,7 +74,8 @@
 
     def __init__(self, relay: Relay, classes: tuple[str, ...], listener: socket.socket) -> None:
         self._relay, self._classes, self._listener = relay, classes, listener
-        self.connections = 0
+        self._waiting: dict[anyio.CancelScope, None] = {}  # connections without a request, the longest first
+        self._connections = self.answering = 0
 
     async def run(self) -> None:
         async with anyio.create_task_group() as tasks:
@@ -88,10 +89,9 @@
                     logger.warning("accept: {}", err)
                     await anyio.sleep(0.02)
                     continue
-                if self.connections >= self._relay.max_clients:
-                    sock.close()
-                    continue
-                self.connections += 1
+                self._connections += 1
+                if self._connections > self._relay.max_clients:
+                    self.close_waiting(1)
                 tasks.start_soon(self._serve, sock)
 
     async def _serve(self, sock: socket.socket) -> None:
@@ -105,16 +105,32 @@
         except Exception:  # guards all other connections against a fault in the handling of one
             logger.exception("a client's connection broke off")
         finally:
-            self.connections -= 1
+            self._connections -= 1
             sock.close()
 
     async def _one_request(self, connection: ServerConnection) -> bool:
         """Answer one request; False when the connection is to be closed."""
         with anyio.move_on_after(_IDLE_S) as waited:
-            if not await connection.started():
-                return False
-        if waited.cancelled_caught:
+            self._waiting[waited] = None
+            try:
+                if not await connection.started():
+                    return False
+            finally:
+                del self._waiting[waited]
+        if waited.cancelled_caught and connection.is_quiet():
             return False
+        self.answering += 1
+        try:
+            return await self._read_and_answer(connection)
+        finally:
+            self.answering -= 1
+
+    def close_waiting(self, most: int | None = None) -> None:
+        """Close the connections that have no request under way, those that have waited longest first."""
+        for scope in list(self._waiting)[:most]:
+            scope.cancel()
+
+    async def _read_and_answer(self, connection: ServerConnection) -> bool:
         try:
             with anyio.fail_after(_REQUEST_S):
                 request = await connection.request()
@@ -128,7 +144,7 @@
             return False
         with anyio.fail_after(_REPLY_S):
             await self._answer(connection, request)
-        return connection.next()
+        return connection.next() and not self._relay.stopping
 
     async def _turn_away(self, connection: ServerConnection, status: int, text: str) -> bool:
         with anyio.move_on_after(_LINGER_S):
@@ -150,10 +166,10 @@
             return
         number = self._relay.take(told)
         if isinstance(number, Refusal):
-            stopping = number is Refusal.STOPPING
-            retry = _STOPPING_RETRY_S if stopping else _BUSY_RETRY_S
+            elsewhere = number is not Refusal.FULL
+            retry = _ELSEWHERE_RETRY_S if elsewhere else _BUSY_RETRY_S
             headers: Headers = [(b"Retry-After", retry.encode())]
-            await connection.respond(503, headers, number.value.encode(), close=stopping)
+            await connection.respond(503, headers, number.value.encode(), close=elsewhere)
             return
         try:
             await connection.respond(202)
--- a/calicohitch/net/discovery.py
+++ b/calicohitch/net/discovery.py
@@ -4,20 +4,22 @@
 
 import json
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 import anyio
 from loguru import logger
 
 from ..clock import to_micros
-from ..config import Address
+from ..config import Address, ConfigError
 from ..interface import Listed, ListKind, ListTold, Phase
 from ..settings import Names
 from .http import ClientConnection
 
-WATCH_MS = 20_000
-_ANSWER_S = 3.0  # discovery answers at once, or at the end of a watch; it is silent after that
+# News that a lost watch held back counts as told two seconds after the watch's end: short watches find a
+# discovery that has fallen silent, and ask it again, before that.
+WATCH_MS = 2_000
+_ANSWER_S = 1.0  # the agent is on this machine: past this it is silent
 _PAUSE_S = 0.1
 _MAX_LIST = 16 << 20
 _PHASES = {"Ready": Phase.READY, "Terminating": Phase.DRAINING, "Gone": Phase.GONE}
@@ -47,37 +49,45 @@
         self._names = names
         self._numbers: dict[str, int] = {}
         self._addresses: dict[int, Address] = {}
-        self._zones: dict[int, int] = {}
+        self._listed: dict[int, Listed] = {}
 
     def address(self, endpoint: int) -> Address:
         return self._addresses[endpoint]
 
-    def zone(self, endpoint: int) -> int:
-        return self._zones[endpoint]
+    def listed(self, endpoint: int) -> Listed:
+        """What the list last said of an endpoint."""
+        return self._listed[endpoint]
 
     def read(self, told: Any) -> Update:
-        """An answer in discovery's form. Nothing of it is kept unless all of it can be read."""
+        """An answer in discovery's form; a line of it that cannot be read is left out."""
         try:
-            members = [self._member(item) for item in told["members"]]
-            entries = tuple(entry for entry, _ in members)
-            update = Update(int(told["revision"]), bool(told["complete"]), entries)
-        except (KeyError, TypeError, ValueError, AttributeError) as err:
+            version, complete, items = int(told["revision"]), bool(told["complete"]), list(told["members"])
+        except (KeyError, TypeError, ValueError) as err:
             raise ListError(f"the list cannot be read: {type(err).__name__}: {err}") from err
-        for entry, address in members:
-            self._zones[entry.endpoint] = entry.zone
+        if complete:  # what a whole list does not name is gone
+            for number, entry in self._listed.items():
+                self._listed[number] = replace(entry, phase=Phase.GONE)
+        entries = []
+        for item in items:
+            try:
+                entry, address = self._member(item)
+            except (ConfigError, KeyError, TypeError, ValueError, AttributeError) as err:
+                logger.warning("a line of the list is left out: {}: {} in {}", type(err).__name__, err, item)
+                continue
+            entries.append(entry)
+            self._listed[entry.endpoint] = entry
             if address:
                 self._addresses[entry.endpoint] = address
-        return update
+        return Update(version, complete, tuple(entries))
 
     def _member(self, item: dict[str, Any]) -> tuple[Listed, Address | None]:
         phase = _PHASES[item["phase"]]
         address = None
-        if phase is Phase.READY or item.get("host_port"):
-            try:
-                address = Address.parse(item["host_port"], "host_port")
-            except Exception as err:
-                raise ValueError(str(err)) from err
+        if phase is Phase.READY:
+            address = Address.parse(item["host_port"], "host_port")
         number = self._numbers.setdefault(str(item["id"]), len(self._numbers) + 1)
+        if phase is not Phase.READY and number in self._listed:  # what goes may be told by its id alone
+            return replace(self._listed[number], phase=phase), None
         entry = Listed(
             endpoint=number,
             dest=int(item["cell"]),
--- a/calicohitch/net/endpoints.py
+++ b/calicohitch/net/endpoints.py
@@ -4,6 +4,7 @@
 
 import math
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import anyio
@@ -97,10 +98,19 @@
         self._idle: dict[int, deque[ClientConnection]] = {}
         self._open = 0
 
-    async def call(self, endpoint: int, address: Address, call: Call, scope: anyio.CancelScope) -> Result:
-        """One attempt. Where it did not end well the connection is closed; there is no hidden resend."""
+    async def call(
+        self,
+        endpoint: int,
+        address: Address,
+        call: Call,
+        scope: anyio.CancelScope,
+        wanted: Callable[[], bool],
+    ) -> Result:
+        """One attempt. Where it did not end well the connection is closed; there is no hidden resend.
+        A new connection takes its time, and what was decided before may no longer hold: `wanted` says."""
         connection: ClientConnection | None = None
         response: Response | None = None
+        unsent = False
         deadline = anyio.current_time() + call.timeout / 1e3
         timer = anyio.CancelScope(deadline=deadline)
         try:
@@ -108,13 +118,16 @@
                 connection = self._warm(endpoint)
                 if connection is None:
                     connection = await self._connect(address)
+                    if not wanted():
+                        unsent = True
+                        return Result(Outcome.MOOT)
                 response = await connection.request("POST", "/v1/messages", call.headers(address), call.body)
         except (OSError, TimeoutError):
             never = connection is None or not connection.sent
             return Result(Outcome.CONNECT_FAILED if never else Outcome.RESET)
         finally:
             if connection is not None:
-                self._give_back(endpoint, connection, response is not None)
+                self._give_back(endpoint, connection, unsent or response is not None)
         if response is None and connection is not None:
             response = connection.head  # its body was cut short, but the answer is there
         if response is not None:
--- a/calicohitch/net/http.py
+++ b/calicohitch/net/http.py
@@ -188,6 +188,10 @@
     def client_left(self) -> bool:
         return self._link.has_ended()
 
+    def is_quiet(self) -> bool:
+        """No part of a request has come."""
+        return self._link.is_quiet() or self._link.has_ended()
+
     async def started(self) -> bool:
         """Waits for the first bytes of the next request; False if the client ended the connection instead."""
         if not self._http.trailing_data[0]:
--- a/calicohitch/net/relay.py
+++ b/calicohitch/net/relay.py
@@ -18,7 +18,7 @@
 from .. import interface as i
 from ..clock import Clock, to_micros, to_ms
 from ..config import Config
-from ..journal import End, Entry, Journal, JournalFull
+from ..journal import Attempt, End, Entry, Journal, JournalFull
 from ..rules import Sender
 from .discovery import Directory, Discovery, ListError
 from .endpoints import Call, Endpoints, Result
@@ -31,6 +31,7 @@
 class Refusal(Enum):
     """Why a message was not taken on."""
 
+    STARTING = "the relay is starting"
     STOPPING = "the relay is stopping"
     FULL = "no room for another message"
 
@@ -54,7 +55,6 @@
     """A message that is owed its end."""
 
     entry: Entry
-    attempts: int
     accepted: bool = False  # the decisions have it
     calls: dict[int, anyio.CancelScope] = field(default_factory=dict)
 
@@ -77,7 +77,8 @@
         self.max_clients = config.limits.sockets // 2
         self._directory = Directory(config.names)
         self._discovery = Discovery(config.discovery, self._directory, self.feed)
-        self._notices = Notices(config.discovery, journal.closed)
+        self._waits: dict[int, float] = {}  # destination, or endpoint where those are routes apart -> its end
+        self._notices = Notices(config.discovery, self._closed)
         self._endpoints = Endpoints(
             clock,
             tuple(report.name for report in settings.reports),
@@ -113,8 +114,8 @@
         """Journal a message. `accept` must follow once its client was told, or `withdraw` if it was not."""
         if told.id in self._by_id:  # the client sent its request again; it is taken on already
             return self._by_id[told.id]
-        if self.stopping:
-            return Refusal.STOPPING
+        if self.stopping or not self.ready:
+            return Refusal.STOPPING if self.stopping else Refusal.STARTING
         if len(self._open) >= self._config.settings.open_cap or not self._journal.has_room(len(told.body)):
             return Refusal.FULL
         number = self._journal.next_number
@@ -127,7 +128,7 @@
         except JournalFull as err:
             logger.error("journal: {}", err)
             return Refusal.FULL
-        self._open[number] = _Open(entry, 0)
+        self._open[number] = _Open(entry)
         self._by_id[told.id] = number
         return number
 
@@ -145,7 +146,7 @@
         message = self._open.get(number)
         if message and not message.accepted:
             self._forget(number)
-            self._journal.closed(number)
+            self._closed(number)
 
     def feed(self, *events: i.Event) -> None:
         """Tell the decisions what was seen, and do what they answer."""
@@ -157,15 +158,22 @@
             while self._events:
                 batch = list(self._events)
                 self._events.clear()
-                for action in self._sender.handle(to_micros(self._clock.now()), batch):
+                for action in self._decide(batch):
                     self._do(action)
         finally:
             self._feeding = False
 
+    def _decide(self, events: list[i.Event]) -> list[i.Action]:
+        try:
+            return self._sender.handle(to_micros(self._clock.now()), events)
+        except Exception:  # guards the open messages: a relay that ends can do nothing for them
+            logger.exception("the decisions broke at {}", events)
+            return []
+
     def _do(self, action: i.Action) -> None:
         match action:
-            case i.Send(message, endpoint, timeout):
-                self._send(message, endpoint, timeout)
+            case i.Send():
+                self._send(action)
             case i.Refuse(message, retry_after):
                 self._end(message, End(True, to_ms(retry_after)))
             case i.Fail(message):
@@ -185,45 +193,61 @@
             case _:  # changes of the list always come unasked, and no site that runs a relay allows probes
                 pass
 
-    def _send(self, number: int, endpoint: int, timeout: int) -> None:
-        message, now = self._open[number], self._clock.now()
-        attempt = message.attempts
-        message.attempts += 1
-        left = max(1.0, message.entry.deadline - now)
-        entry, timeout_ms = message.entry, min(to_ms(timeout) or left, left)
-        call = Call(entry.id, entry.key, entry.body, timeout_ms)
+    def _send(self, action: i.Send) -> None:
+        message, now = self._open[action.message], self._clock.now()
+        entry, number = message.entry, len(message.entry.attempts)
+        attempt = Attempt(now, self._directory.listed(action.endpoint).zone)
+        entry.attempts.append(attempt)
         try:
-            self._journal.attempt(number, now, self._directory.zone(endpoint))
+            self._journal.attempt(entry.number, number, attempt.sent_at, attempt.zone)
         except JournalFull as err:
             logger.error("journal: {}", err)
-            self._settled(message, attempt, endpoint, now, Result(i.Outcome.MOOT))
+            self._settled(message, number, action.endpoint, Result(i.Outcome.MOOT))
             return
-        scope = message.calls[attempt] = anyio.CancelScope()
+        message.calls[number] = anyio.CancelScope()
         assert self._tasks is not None
-        self._tasks.start_soon(self._call, message, attempt, endpoint, call, scope, now)
+        self._tasks.start_soon(self._call, message, number, action)
 
-    async def _call(self, message: _Open, attempt: int, endpoint: int, call: Call,
-                    scope: anyio.CancelScope, sent_at: float) -> None:
+    async def _call(self, message: _Open, attempt: int, action: i.Send) -> None:
+        entry, endpoint = message.entry, action.endpoint
+        left = max(1.0, entry.deadline - entry.attempts[attempt].sent_at)
+        call = Call(entry.id, entry.key, entry.body, min(to_ms(action.timeout) or left, left))
         try:
-            result = await self._endpoints.call(endpoint, self._directory.address(endpoint), call, scope)
+            result = await self._endpoints.call(
+                endpoint, self._directory.address(endpoint), call, message.calls[attempt],
+                wanted=lambda: self._wanted(action))
         except Exception:  # guards all other messages against a fault in the handling of one
             logger.exception("a call broke off")
             result = Result(i.Outcome.RESET)
-        self._settled(message, attempt, endpoint, sent_at, result)
-
-    def _settled(self, message: _Open, attempt: int, endpoint: int, sent_at: float, result: Result) -> None:
-        number = message.entry.number
+        self._settled(message, attempt, endpoint, result)
+
+    def _route(self, endpoint: int) -> int:
+        """What shares a told wait with this endpoint; endpoints that are routes apart are below zero."""
+        entry = self._directory.listed(endpoint)
+        return ~endpoint if self._config.settings.kind(entry).routes_apart else entry.dest
+
+    def _wanted(self, action: i.Send) -> bool:
+        """Whether a call may still go out, now that its connection is up. Guards three rules against slow
+        connects: its endpoint may drain by now, its destination have told to wait, its key be forgotten."""
+        now = self._clock.now()
+        ready = self._directory.listed(action.endpoint).phase is i.Phase.READY
+        remembered = not action.not_after or to_micros(now) < action.not_after
+        return ready and remembered and self._waits.get(self._route(action.endpoint), 0.0) <= now
+
+    def _settled(self, message: _Open, attempt: int, endpoint: int, result: Result) -> None:
+        number, now = message.entry.number, self._clock.now()
         message.calls.pop(attempt, None)
+        if result.wait:
+            self._waits[self._route(endpoint)] = now + result.wait
         if result.ended:
             self._forget(number)
-        try:
-            if result.ended:
-                self._journal.closed(number)
-            else:
+            self._closed(number)
+        else:
+            try:
                 self._journal.outcome(number, attempt, not result.outcome.never_ran)
-        except JournalFull as err:  # after a restart the attempt counts as one that may have run
-            logger.error("journal: {}", err)
-        took = to_micros(self._clock.now() - sent_at)
+            except JournalFull as err:  # after a restart the attempt counts as one that may have run
+                logger.error("journal: {}", err)
+        took = to_micros(now - message.entry.attempts[attempt].sent_at)
         self.feed(i.Settled(number, attempt, endpoint, result.outcome, took, result.ended,
             to_micros(math.ceil(result.wait)), result.slots_taken, result.report))
 
@@ -236,6 +260,12 @@
             logger.error("journal: {}", err)
         self._notices.add(Notice(number, message.entry.id, end))
 
+    def _closed(self, number: int) -> None:
+        try:
+            self._journal.closed(number)
+        except JournalFull as err:  # after a restart the message is taken up again, which does no harm
+            logger.error("journal: {}", err)
+
     def _forget(self, number: int) -> _Open | None:
         message = self._open.pop(number, None)
         if message:
@@ -256,7 +286,7 @@
             elif entry.class_name not in self._config.names.classes:
                 self._notices.add(Notice(entry.number, entry.id, End(False)))
             else:
-                self._open[entry.number] = _Open(entry, len(entry.attempts), accepted=True)
+                self._open[entry.number] = _Open(entry, accepted=True)
                 self._by_id[entry.id] = entry.number
                 earlier = tuple(i.EarlierAttempt(to_micros(was.sent_at), was.zone, was.may_have_run)
                                 for was in entry.attempts)
--- a/calicohitch/rules.py
+++ b/calicohitch/rules.py
@@ -453,13 +453,16 @@
         endpoint = call.endpoint
         del self._dests[message.dest].held[message.id]
         self._touched[message.dest] = None
+        keyed_again = message.cls.effect is Effect.KEYED and message.may_have_run
+        not_after = message.key_until() if keyed_again else 0  # guards the key's window against slow connects
         message.calls[message.attempts] = call
         message.may_have_run[message.attempts] = (self._now, endpoint.told.zone)
         message.attempts += 1
         message.last = endpoint
         call.left += 1
         call.again |= message.refused
-        self._actions.append(Send(message.id, endpoint.told.endpoint, self._timeout(message, endpoint.route)))
+        timeout = self._timeout(message, endpoint.route)
+        self._actions.append(Send(message.id, endpoint.told.endpoint, timeout, not_after))
 
     def _timeout(self, message: Message, route: Route) -> int:
         """Guards against calls that hang or are lost and hold slots. Unsafe messages end by one, so they get
--- a/calicohitch/service.py
+++ b/calicohitch/service.py
@@ -15,7 +15,7 @@
 from .net.relay import Relay
 
 _MB = 1_000_000  # the platform counts disk in these
-_SETTLE_S = 1.0  # clients keep coming for a moment after SIGTERM, and are told to go elsewhere
+_SETTLE_S = 0.5  # clients keep coming for a moment after SIGTERM, and are told to go elsewhere
 
 
 async def serve(config: Config, clock: Clock | None = None) -> None:
@@ -31,7 +31,8 @@
                 logger.info("stopping: new messages are refused, open ones go on")
                 relay.stopping = True
                 await anyio.sleep(_SETTLE_S)
-                while not relay.idle:
+                clients.close_waiting()
+                while clients.answering or not relay.idle:
                     await anyio.sleep(0.05)
                 tasks.cancel_scope.cancel()
         finally:
