--- /dev/null
+++ b/tests/test_parsers.py
@@ -0,0 +1,184 @@
+"""Tables of cases for what a relay reads: its configuration, discovery's list, headers, notices."""
+
+from __future__ import annotations
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+import anyio
+from world import SETTINGS, member, until
+
+from calicohitch.config import Address, ConfigError, load, parse
+from calicohitch.interface import ListKind, Phase
+from calicohitch.journal import End
+from calicohitch.net.clients import BadRequest, read_submission
+from calicohitch.net.discovery import Directory, ListError
+from calicohitch.net.endpoints import read_report, read_wait
+from calicohitch.net.http import Request
+from calicohitch.net.notices import Notice
+from calicohitch.net.peers import Peers
+from calicohitch.settings import Names
+
+GOOD: dict[str, Any] = {
+    "name": "n0", "listen": "127.0.0.1:8080", "discovery": "127.0.0.1:8500", "state": "/run/state",
+    "seed": "8c1f30d27a5be964", "limits": {"sockets": 1024, "disk_mb": 3}, "settings": SETTINGS, "new": 1,
+}
+
+
+class Configuration(unittest.TestCase):
+    def test_what_is_wrong_is_named(self) -> None:
+        cases: list[tuple[dict[str, Any], str]] = [
+            ({"listen": None}, "listen must be HOST:PORT"),
+            ({"listen": "127.0.0.1"}, "listen must be HOST:PORT"),
+            ({"discovery": "127.0.0.1:99999"}, "discovery must be HOST:PORT"),
+            ({"state": ""}, "NODE_STATE"),
+            ({"settings": None}, "settings must be an object"),
+            ({"settings": SETTINGS | {"family_info": {}}}, "KeyError: 'call_slots'"),
+            ({"settings": SETTINGS | {"caps": {"open_cap": 0, "send_cap": 8}}}, "open_cap"),
+            ({"limits": {"sockets": "many"}}, "limits.sockets"),
+            ({"limits": {"disk_mb": 0}}, "limits.disk_mb"),
+            ({"peers": "x"}, "peers must be a list"),
+            ({"seed": "zz"}, "seed"),
+            ({"known": []}, "known"),
+        ]
+        for change, text in cases:
+            with self.subTest(change=change), self.assertRaisesRegex(ConfigError, text):
+                parse(GOOD | change)
+
+    def test_what_is_told_is_read_and_unknown_keys_are_ignored(self) -> None:
+        config = parse(GOOD | {"peers": ["10.3.0.1:7946"], "peer_listen": "[::1]:7946"})
+        self.assertEqual(config.seed, 0x8C1F30D27A5BE964)
+        self.assertEqual((config.listen, str(config.peer_listen)), (Address("127.0.0.1", 8080), "[::1]:7946"))
+        self.assertEqual(config.names, Names(("orders", "scores"), ("east", "west"), ("pubs",)))
+
+    def test_the_environment_outweighs_the_file(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder, "config.json")
+            path.write_text(json.dumps(GOOD))
+            env = {"NODE_CONFIG": str(path), "NODE_LISTEN": "127.0.0.1:1", "NODE_STATE": folder}
+            config = load(env)
+            self.assertEqual((config.listen.port, config.state), (1, Path(folder)))
+            path.write_text("{")
+            for bad in ({}, env, {"NODE_CONFIG": folder}):
+                with self.subTest(env=bad), self.assertRaises(ConfigError):
+                    load(bad)
+
+
+class Lists(unittest.TestCase):
+    def setUp(self) -> None:
+        self.directory = Directory(Names(("orders",), ("east", "west"), ("pubs",)))
+
+    def read(self, *members: dict[str, Any], complete: bool = True) -> Any:
+        return self.directory.read({"revision": 4, "complete": complete, "members": list(members)})
+
+    def test_names_become_numbers(self) -> None:
+        cases = [("east", "pubs", 0, 0), ("west", "inns", 1, 1), ("moon", None, 2, 1), (1, 0, 1, 0)]
+        for zone, kind, zone_number, kind_number in cases:
+            with self.subTest(zone=zone, kind=kind):
+                told = member("127.0.0.1:1") | {"locality": zone, "flavor": kind, "up_since_ms": 5}
+                (entry,) = self.read(told).entries
+                self.assertEqual((entry.zone, entry.kind, entry.since), (zone_number, kind_number, 5_000))
+
+    def test_ids_keep_their_numbers_and_addresses_may_move(self) -> None:
+        update = self.read(member("127.0.0.1:1", "s-1"), member("127.0.0.1:2", "s-2"))
+        self.assertEqual(update.told().kind, ListKind.FULL)
+        first = update.entries[0].endpoint
+        moved = self.read(member("127.0.0.1:9", "s-1"), complete=False)
+        self.assertEqual((moved.told().kind, moved.entries[0].endpoint), (ListKind.DELTA, first))
+        self.assertEqual(self.directory.address(first).port, 9)
+        self.assertEqual(self.directory.listed(update.entries[1].endpoint).phase, Phase.READY)
+        self.read(member("127.0.0.1:9", "s-1"))
+        self.assertEqual(self.directory.listed(update.entries[1].endpoint).phase, Phase.GONE)
+
+    def test_what_goes_may_be_told_by_its_id_and_phase_alone(self) -> None:
+        number = self.read(member("127.0.0.1:1")).entries[0].endpoint
+        for phase, read in (("Terminating", Phase.DRAINING), ("Gone", Phase.GONE)):
+            (entry,) = self.read({"id": "s-1", "phase": phase}, complete=False).entries
+            self.assertEqual((entry.endpoint, entry.dest, entry.phase), (number, 7, read))
+
+    def test_a_line_that_cannot_be_read_is_left_out(self) -> None:
+        bad = [{}, member("nowhere"), member("127.0.0.1:1", phase="Asleep"), member("1:1") | {"cell": "x"}, 7]
+        self.assertEqual(len(self.read(*bad, member("127.0.0.1:1")).entries), 1)  # type: ignore[arg-type]
+        for told in ({}, [], None, {"revision": "x", "complete": True, "members": []}):
+            with self.subTest(told=told), self.assertRaises(ListError):
+                self.directory.read(told)
+
+
+class Headers(unittest.TestCase):
+    def test_reports(self) -> None:
+        cases: list[tuple[bytes, tuple[float, ...]]] = [
+            (b"x0=0.4,x1=25", (0.4, 25.0)), (b" x1=25 , x0=0.4", (0.4, 25.0)), (b"x0=0.4", ()),
+            (b"x0=nan,x1=1", ()), (b"x0=a,x1=1", ()), (b"", ()), (b"=,=", ()),
+        ]
+        for text, report in cases:
+            with self.subTest(text=text):
+                self.assertEqual(read_report(text, ("x0", "x1")), report)
+
+    def test_waits(self) -> None:
+        cases = ((b"340", 340.0), (b"0.5", 0.5), (b"-1", 0.0), (b"", 0.0), (b"inf", 0.0), (b"x", 0.0))
+        for text, wait in cases:
+            with self.subTest(text=text):
+                self.assertEqual(read_wait(text), wait)
+
+    def test_messages_handed_in(self) -> None:
+        headers = {b"req-id": b"a", b"req-deadline-ms": b"480", b"envelope": b"dest=7"}
+        headers[b"req-retry"] = b"again"
+        told = read_submission(Request("POST", "/orders/x", headers, b""), ("scores", "orders"))
+        self.assertEqual((told.class_index, told.dest, told.time_left, told.key), (1, 7, 480, None))
+        self.assertTrue(told.handed_in_again and told.from_dead_relay)
+        cases: list[tuple[dict[bytes, bytes], str, int]] = [
+            ({b"envelope": b"a=1; dest=7"}, "POST", 0),
+            ({b"envelope": b"dest=7.5"}, "POST", 400),
+            ({}, "PUT", 405),
+        ]
+        for change, method, status in cases:
+            with self.subTest(change=change, method=method):
+                try:
+                    read_submission(Request(method, "/orders", headers | change, b""), ("orders",))
+                except BadRequest as err:
+                    self.assertEqual(err.status, status)
+                else:
+                    self.assertEqual(status, 0)
+
+    def test_notices(self) -> None:
+        cases = [
+            (End(False), '{"message":"a","outcome":"given_up"}'),
+            (End(False, 9.0), '{"message":"a","outcome":"given_up"}'),
+            (End(True), '{"message":"a","outcome":"handed_back"}'),
+            (End(True, 499.6), '{"message":"a","outcome":"handed_back","retry_in_ms":500}'),
+        ]
+        for end, line in cases:
+            with self.subTest(end=end):
+                self.assertEqual(Notice(1, "a", end).line(), line)
+
+
+class Notes(unittest.TestCase):
+    def test_notes_come_from_known_relays_only(self) -> None:
+        async def run() -> None:
+            heard: list[tuple[int, bytes]] = []
+            one = Peers(Address("127.0.0.1", 0), (), None)
+            here = Address(*one._sock.getsockname())
+            two = Peers(Address("127.0.0.1", 0), (here,), here)
+            stranger = Peers(Address("127.0.0.1", 0), (here,), None)
+            one._numbers = {two._sock.getsockname(): 3}
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(one.run, lambda number, data: heard.append((number, data)))
+                stranger.tell(0, b"who")
+                two.tell(0, bytes(257))  # too long to be sent
+                two.tell(5, b"no such relay")
+                two.tell(0, b"one")
+                two.tell(None, b"all")
+                await until(lambda: len(heard) == 2)
+                tasks.cancel_scope.cancel()
+            self.assertEqual(heard, [(3, b"one"), (3, b"all")])
+            for peers in (one, two, stranger):
+                peers.close()
+
+        anyio.run(run)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_process.py
@@ -0,0 +1,133 @@
+"""The program itself: it starts, is killed, starts again, and stops."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import unittest
+from pathlib import Path
+
+import anyio
+from world import LIMIT, SETTINGS, Address, Request, World, play, until
+
+from calicohitch.net.http import ClientConnection
+
+ROOT = Path(__file__).parents[1]
+
+
+class Program:
+    def __init__(self, world: World) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            world.client = Address(*free.getsockname())
+        path = world.folder / "config.json"
+        path.write_text(json.dumps({"name": "n0", "settings": SETTINGS}))
+        self.world = world
+        self.env = os.environ | {
+            "NODE_CONFIG": str(path), "NODE_STATE": str(world.folder / "state"),
+            "NODE_LISTEN": str(world.client), "NODE_DISCOVERY": str(world.platform.address),
+        }
+
+    async def start(self) -> subprocess.Popen[bytes]:
+        command = [sys.executable, "-B", "-m", "calicohitch", "serve"]
+        process = subprocess.Popen(command, env=self.env, cwd=ROOT, stderr=subprocess.DEVNULL)
+        with anyio.fail_after(LIMIT):
+            while await self.ready() != 200:
+                await anyio.sleep(0.02)
+        return process
+
+    async def ready(self) -> int:
+        try:
+            connection = await ClientConnection.open(self.world.client)
+        except OSError:
+            return 0
+        try:
+            return (await connection.request("GET", "/health/ready", [(b"Host", b"relay")])).status
+        except OSError:
+            return 0
+        finally:
+            connection.close()
+
+
+class Lives(unittest.TestCase):
+    def test_a_killed_relay_delivers_what_it_had_taken_on(self) -> None:
+        async def test(world: World) -> None:
+            async def hang_once(_request: Request) -> object:
+                if len(world.endpoint.requests) == 1:
+                    await anyio.sleep(LIMIT)
+                return 200, {}, b""
+
+            world.endpoint.handle = hang_once  # type: ignore[assignment]
+            program = Program(world)
+            first = await program.start()
+            self.assertEqual((await world.hand_in(Req_Deadline_Ms="20000")).status, 202)
+            await until(lambda: world.endpoint.requests)
+            first.kill()
+            first.wait(LIMIT)
+            second = await program.start()
+            try:
+                await until(lambda: len(world.endpoint.requests) == 2)
+                self.assertEqual(world.endpoint.requests[1].headers[b"req-id"], b"a1")
+                second.send_signal(signal.SIGTERM)
+                await until(lambda: second.poll() is not None)
+                self.assertEqual((second.returncode, world.notices), (0, []))
+            finally:
+                second.kill()
+                second.wait(LIMIT)
+
+        play(test)
+
+    def test_a_stopping_relay_refuses_new_work_and_ends_what_it_has(self) -> None:
+        async def test(world: World) -> None:
+            release = anyio.Event()
+
+            async def slow(_request: Request) -> object:
+                await release.wait()
+                return 200, {}, b""
+
+            world.endpoint.handle = slow  # type: ignore[assignment]
+            program = Program(world)
+            process = await program.start()
+            try:
+                await world.hand_in(Req_Deadline_Ms="20000")
+                process.send_signal(signal.SIGTERM)
+                with anyio.fail_after(LIMIT):
+                    while await program.ready() == 200:
+                        await anyio.sleep(0.02)
+                self.assertEqual((await world.hand_in("a2")).status, 503)
+                self.assertIsNone(process.poll())
+                release.set()
+                await until(lambda: process.poll() is not None)
+                self.assertEqual(process.returncode, 0)
+            finally:
+                process.kill()
+                process.wait(LIMIT)
+
+        play(test)
+
+
+class CommandLine(unittest.TestCase):
+    def run_it(self, *arguments: str, **env: str) -> subprocess.CompletedProcess[str]:
+        command = [sys.executable, "-m", "calicohitch", *arguments]
+        env = os.environ | env
+        return subprocess.run(command, env=env, cwd=ROOT, capture_output=True, text=True, timeout=60)
+
+    def test_sub_commands(self) -> None:
+        cases: list[tuple[list[str], dict[str, str], int, str]] = [
+            (["version"], {}, 0, ""),
+            (["check-config"], {"NODE_CONFIG": "/nowhere"}, 2, "calicohitch: the configuration /nowhere"),
+            (["serve"], {"NODE_CONFIG": ""}, 2, "calicohitch: NODE_CONFIG must name"),
+            (["dance"], {}, 2, "usage:"),
+        ]
+        for arguments, env, code, text in cases:
+            with self.subTest(arguments=arguments):
+                done = self.run_it(*arguments, **env)
+                self.assertEqual(done.returncode, code)
+                self.assertIn(text, done.stderr)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_relay_rules.py
@@ -0,0 +1,294 @@
+"""One test on real sockets for each rule that a relay keeps."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import anyio
+from world import LIMIT, World, member, play, until
+
+from calicohitch.clock import ManualClock
+from calicohitch.interface import Outcome
+from calicohitch.journal import End, Entry, Journal
+from calicohitch.net.endpoints import Call, Endpoints, Result
+from calicohitch.net.http import Link, Request
+
+
+def in_world(test: Callable[..., Awaitable[None]]) -> Callable[[unittest.TestCase], None]:
+    return lambda self: play(lambda world: test(self, world))
+
+
+def left_open(folder: Path) -> int:
+    journal = Journal(folder, 3e6)
+    journal.close()
+    return len(journal.entries)
+
+
+class Delivery(unittest.TestCase):
+    @in_world
+    async def test_a_message_is_passed_on_unchanged_and_nothing_more_is_owed(self, world: World) -> None:
+        async with world.relay():
+            self.assertEqual((await world.hand_in()).status, 202)
+            await until(lambda: world.endpoint.requests)
+            call = world.endpoint.requests[0]
+            self.assertEqual((call.method, call.path, call.body), ("POST", "/v1/messages", b"\x00body\xff"))
+            self.assertEqual((call.headers[b"req-id"], call.headers[b"idempotency-key"]), (b"a1", b"k1"))
+            self.assertTrue(1 <= int(call.headers[b"req-deadline-ms"]) <= 5000)
+            await until(lambda: not left_open(world.folder))
+        self.assertEqual(world.notices, [])
+
+    @in_world
+    async def test_given_up_messages_end_by_one_notice_with_a_time_to_come_back(self, world: World) -> None:
+        world.members = []  # nobody to send to: the late drop ends it
+        async with world.relay():
+            await world.hand_in(Req_Deadline_Ms="1300")
+            await until(lambda: world.notices)
+            await until(lambda: not left_open(world.folder))
+        self.assertEqual([(n["message"], n["outcome"]) for n in world.notices], [("a1", "handed_back")])
+
+    @in_world
+    async def test_a_notice_is_sent_until_it_is_acknowledged(self, world: World) -> None:
+        kept = world.platform.handle
+        refused = 0
+
+        async def silent_twice(request: Request) -> object:
+            nonlocal refused
+            if request.path == "/reports" and refused < 2:
+                refused += 1
+                return None
+            return await kept(request)
+
+        world.platform.handle = silent_twice  # type: ignore[assignment]
+        world.members = []
+        async with world.relay():
+            await world.hand_in(Req_Deadline_Ms="100")
+            await until(lambda: world.notices)
+        self.assertEqual((refused, len(world.notices)), (2, 1))
+
+    @in_world
+    async def test_a_request_sent_twice_is_taken_on_once(self, world: World) -> None:
+        world.members = []
+        async with world.relay() as relay:
+            self.assertEqual([(await world.hand_in()).status for _ in range(2)], [202, 202])
+            self.assertEqual(len(relay._open), 1)
+
+
+class Attempts(unittest.TestCase):
+    @in_world
+    async def test_what_an_attempt_ends_as(self, world: World) -> None:
+        cases: list[tuple[object, Outcome, bool, float]] = [
+            ((200, {}, b""), Outcome.OK, True, 0),
+            ((500, {}, b""), Outcome.ERROR, False, 0),
+            ((429, {"Wait-Ms": "340.5"}, b""), Outcome.FULL, False, 340.5),
+            ((429, {"Wait-Ms": "soon"}, b""), Outcome.FULL, False, 0),
+            ((503, {}, b""), Outcome.FULL, False, 0),
+            ((503, {"Slots-Taken": "1"}, b""), Outcome.MOOT, False, 0),
+            ((504, {}, b""), Outcome.MOOT, False, 0),
+            ((410, {}, b""), Outcome.MOOT, True, 0),
+            (None, Outcome.RESET, False, 0),
+        ]
+        endpoints = Endpoints(world.clock, ("x0", "x1"), 10_000, 1_500, 8)
+
+        async def call(timeout: float = 5_000, wanted: bool = True) -> Result:
+            told = Call("a1", None, b"x", timeout)
+            return await endpoints.call(1, world.endpoint.address, told, anyio.CancelScope(), lambda: wanted)
+
+        for answer, outcome, ended, wait in cases:
+            with self.subTest(answer=answer):
+                world.answers = [answer]  # type: ignore[list-item]
+                result = await call()
+                self.assertEqual((result.outcome, result.ended, result.wait), (outcome, ended, wait))
+                self.assertEqual(len(world.endpoint.requests), 1)  # no hidden resend
+                world.endpoint.requests.clear()
+        world.answers = [(200, {"Srv-Load": "x1=25, x0=0.4"}, b"")]
+        self.assertEqual((await call()).report, (0.4, 25.0))
+        made = len(world.endpoint.accepted)
+        await call()
+        self.assertEqual(len(world.endpoint.accepted), made)  # a warm connection is used again
+        endpoints.close_idle(1)
+
+        async def hang(_request: Request) -> None:
+            await anyio.sleep(LIMIT)
+
+        world.endpoint.handle = hang  # type: ignore[assignment]
+        self.assertEqual((await call(30)).outcome, Outcome.TIMEOUT)
+        self.assertEqual((await call(wanted=False)).outcome, Outcome.MOOT)
+        endpoints.close_idle(1)
+        world.endpoint.listener.close()
+        self.assertEqual((await call()).outcome, Outcome.CONNECT_FAILED)
+        self.assertEqual(endpoints._open, 0)
+
+    @in_world
+    async def test_idle_connections_are_closed_before_the_endpoint_does(self, world: World) -> None:
+        clock = ManualClock()
+        endpoints = Endpoints(clock, (), 10_000, 1_500, 8)
+        call = Call("a1", None, b"x", 5_000)
+        await endpoints.call(1, world.endpoint.address, call, anyio.CancelScope(), lambda: True)
+        for step, left in ((8_900, 1), (200, 0)):
+            clock.advance(step)
+            endpoints.close_old()
+            self.assertEqual(endpoints._open, left)
+
+    @in_world
+    async def test_a_timed_out_attempt_is_over_before_the_next_begins(self, world: World) -> None:
+        first_had_ended: list[bool] = []
+
+        async def hang_once(_request: Request) -> object:
+            if len(world.endpoint.requests) == 1:
+                await anyio.sleep(LIMIT)
+            first_had_ended.append(world.endpoint.accepted[0].client_left())
+            return 200, {}, b""
+
+        world.endpoint.handle = hang_once  # type: ignore[assignment]
+        async with world.relay() as relay:
+            await world.hand_in(path="/scores")
+            await until(lambda: relay.idle)
+        self.assertEqual(first_had_ended, [True])
+
+    @in_world
+    async def test_a_told_wait_is_kept(self, world: World) -> None:
+        world.answers = [(429, {"Wait-Ms": "400"}, b"")]
+        async with world.relay() as relay:
+            await world.hand_in()
+            await until(lambda: world.endpoint.requests)
+            told = world.clock.now()
+            await world.hand_in("a2")
+            await until(lambda: relay.idle)
+            self.assertGreaterEqual(world.clock.now(), told + 400)
+        self.assertEqual(len(world.endpoint.requests), 3)
+
+    @in_world
+    async def test_nothing_new_goes_to_an_endpoint_that_drains(self, world: World) -> None:
+        async with world.relay() as relay:
+            world.change(member(str(world.endpoint.address), phase="Terminating"))
+            await until(lambda: not relay._sender._endpoints)
+            await world.hand_in(Req_Deadline_Ms="1400")
+            await until(lambda: world.notices)
+        self.assertEqual(world.endpoint.requests, [])
+
+    @in_world
+    async def test_a_silent_discovery_is_asked_again_and_the_list_kept(self, world: World) -> None:
+        kept, asked = world.platform.handle, 0
+
+        async def fails_often(request: Request) -> object:
+            nonlocal asked
+            asked += 1
+            return None if asked in (2, 3) else (200, {}, b"{}") if asked == 4 else await kept(request)
+
+        world.platform.handle = fails_often  # type: ignore[assignment]
+        async with world.relay() as relay:
+            await until(lambda: asked > 4)
+            self.assertEqual(len(relay._sender._endpoints), 1)
+
+
+class Restarts(unittest.TestCase):
+    def entry(self, world: World, number: int, age: float = 0.0) -> Entry:
+        deadline = world.clock.now() - age + 24_000
+        return Entry(number, f"m{number}", "orders", 7, deadline, "k", b"body")
+
+    @in_world
+    async def test_what_was_taken_on_is_delivered_within_its_key_s_window_only(self, world: World) -> None:
+        journal, now = Journal(world.folder, 3e6), world.clock.now()
+        for number, age in ((1, 1_000), (2, 7_000), (3, 7_000), (4, 0)):
+            journal.taken(self.entry(world, number, age))
+        journal.attempt(1, 0, now - 1_000, 1)  # was out when the process ended
+        journal.attempt(2, 0, now - 7_000, 1)  # too, and its key may be forgotten by now
+        journal.attempt(3, 0, now - 7_000, 1)
+        journal.outcome(3, 0, may_have_run=False)
+        journal.close()
+        async with world.relay() as relay:
+            await until(lambda: relay.idle)
+        self.assertEqual({r.headers[b"req-id"] for r in world.endpoint.requests}, {b"m1", b"m3", b"m4"})
+        self.assertEqual([n["message"] for n in world.notices], ["m2"])
+        self.assertEqual(left_open(world.folder), 0)
+
+    @in_world
+    async def test_attempts_count_over_all_lives(self, world: World) -> None:
+        journal, now = Journal(world.folder, 3e6), world.clock.now()
+        journal.taken(self.entry(world, 1))
+        for attempt in range(8):
+            journal.attempt(1, attempt, now, 0)
+            journal.outcome(1, attempt, may_have_run=False)
+        journal.close()
+        async with world.relay():
+            await until(lambda: world.notices)
+        self.assertEqual(world.endpoint.requests, [])
+
+    @in_world
+    async def test_an_unacknowledged_notice_is_sent_again(self, world: World) -> None:
+        journal = Journal(world.folder, 3e6)
+        journal.taken(self.entry(world, 1))
+        journal.end(1, End(True, 750.0))
+        journal.close()
+        async with world.relay():
+            await until(lambda: world.notices)
+        self.assertEqual(world.notices, [{"message": "m1", "outcome": "handed_back", "retry_in_ms": 750}])
+        self.assertEqual(world.endpoint.requests, [])
+
+
+class Intake(unittest.TestCase):
+    @in_world
+    async def test_bad_input_gets_an_answer(self, world: World) -> None:
+        cases: list[tuple[str, dict[str, str], int]] = [
+            ("/orders", {"Req_Deadline_Ms": ""}, 400),
+            ("/orders", {"Req_Deadline_Ms": "1e3"}, 400),
+            ("/orders", {"Req_Deadline_Ms": "-5"}, 400),
+            ("/orders", {"Envelope": ""}, 400),
+            ("/orders", {"Envelope": "dest=seven"}, 400),
+            ("/orders", {"Req_Id": ""}, 400),
+            ("/parcels", {}, 404),
+            ("/", {}, 404),
+        ]
+        async with world.relay() as relay:
+            for path, headers, status in cases:
+                with self.subTest(path=path, headers=headers):
+                    self.assertEqual((await world.hand_in(path=path, **headers)).status, status)
+            self.assertEqual(len(relay._open), 0)
+
+    @in_world
+    async def test_broken_http_and_long_bodies_get_an_answer(self, world: World) -> None:
+        cases = [
+            (b"nonsense\r\n\r\n", b"400"),
+            (b"POST /orders HTTP/1.1\r\nHost: r\r\nContent-Length: x\r\n\r\n", b"400"),
+            (b"POST /orders HTTP/1.1\r\nHost: r\r\nContent-Length: 65537\r\n\r\n" + bytes(65_537), b"413"),
+            (b"GET /health/ready HTTP/1.1\r\nHost: r\r\n\r\n", b"200"),
+        ]
+        async with world.relay():
+            for sent, status in cases:
+                with self.subTest(sent=sent[:60]):
+                    link = await Link.connect(world.client)
+                    await link.send(sent)
+                    answer = await link.receive()
+                    link.close()
+                    self.assertEqual(answer[9:12], status)
+
+    @in_world
+    async def test_past_the_open_cap_and_while_stopping_work_is_refused(self, world: World) -> None:
+        world.members = []
+        async with world.relay(limits={"disk_mb": 0.5}) as relay:
+            answers = [await world.hand_in(f"m{n}") for n in range(24)]
+            self.assertLessEqual(len(relay._open), 16)
+            relay._journal._budget = 0
+            refused = await world.hand_in("late")
+            self.assertEqual((refused.status, b"retry-after" in refused.headers), (503, True))
+            relay.stopping = True
+            refused = await world.hand_in("later")
+            self.assertEqual((refused.status, refused.headers[b"retry-after"]), (503, b"0.1"))
+        self.assertEqual(answers[0].status, 202)
+
+    @in_world
+    async def test_a_client_that_left_is_not_taken_on(self, world: World) -> None:
+        async with world.relay() as relay:
+            link = await Link.connect(world.client)
+            await link.send(b"POST /orders HTTP/1.1\r\nHost: r\r\nReq-Id: a1\r\nReq-Deadline-Ms: 5000\r\n"
+                            b"Envelope: dest=7\r\nContent-Length: 0\r\n\r\n")
+            link.close()
+            await anyio.sleep(0.05)
+            self.assertEqual((len(relay._open), world.endpoint.requests), (0, []))
+            self.assertEqual((await world.hand_in("a2")).status, 202)  # and the others are served
+
+
+if __name__ == "__main__":
+    unittest.main()
