--- a/calicohitch/cli.py
+++ b/calicohitch/cli.py
@@ -6,22 +6,15 @@
 import os
 import sys
 from collections.abc import Sequence
-from importlib import metadata
 
 import anyio
 from loguru import logger
 
+from . import __version__
 from .config import ConfigError, load
 from .service import serve
 
 
-def version() -> str:
-    try:
-        return metadata.version("calicohitch")
-    except metadata.PackageNotFoundError:  # run from a source tree
-        return "unknown"
-
-
 def main(arguments: Sequence[str] | None = None) -> int:
     parser = argparse.ArgumentParser(prog="calicohitch", description="A relay for outbound messages.")
     commands = parser.add_subparsers(dest="command", required=True)
@@ -33,7 +26,7 @@
         commands.add_parser(name, help=text, description=text)
     command = parser.parse_args(arguments).command
     if command == "version":
-        print(version())
+        print(__version__)
         return 0
     try:
         config = load(os.environ)
--- a/calicohitch/net/endpoints.py
+++ b/calicohitch/net/endpoints.py
@@ -132,9 +132,10 @@
             response = connection.head  # its body was cut short, but the answer is there
         if response is not None:
             return result_of(response, self._fields)
-        if connection is None or not connection.sent:
-            return Result(Outcome.CONNECT_FAILED)
-        return Result(Outcome.TIMEOUT if timer.cancelled_caught else Outcome.CANCELLED)
+        if scope.cancelled_caught:
+            return Result(Outcome.CANCELLED)
+        sent = connection is not None and connection.sent
+        return Result(Outcome.TIMEOUT if sent else Outcome.CONNECT_FAILED)
 
     async def _connect(self, address: Address) -> ClientConnection:
         if self._open >= self._most and not self._close_longest_idle():
--- a/calicohitch/net/relay.py
+++ b/calicohitch/net/relay.py
@@ -25,6 +25,7 @@
 from .notices import Notice, Notices
 from .peers import Peers
 
+_LIST_S = 0.3
 _SPARE_SOCKETS = 24  # the listener, discovery, notices, notes, the journal, and what the interpreter holds
 
 
@@ -101,7 +102,8 @@
                 tasks.start_soon(self._peers.run, lambda peer, data: self.feed(i.PeerSaid(peer, data)))
             self._recover()
             tasks.start_soon(self._discovery.run)
-            with anyio.move_on_after(1.0):  # a silent discovery does not keep the relay from serving
+            # A silent discovery does not keep the relay from serving: the list in the configuration may do.
+            with anyio.move_on_after(_LIST_S):
                 await self._discovery.heard.wait()
             self.ready = True
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -14,6 +14,7 @@
 import anyio
 from world import LIMIT, SETTINGS, Address, Request, World, play, until
 
+from calicohitch import __version__
 from calicohitch.net.http import ClientConnection
 
 ROOT = Path(__file__).parents[1]
@@ -127,6 +128,7 @@
                 done = self.run_it(*arguments, **env)
                 self.assertEqual(done.returncode, code)
                 self.assertIn(text, done.stderr)
+        self.assertEqual(self.run_it("version").stdout.strip(), __version__)
 
 
 if __name__ == "__main__":
