Keep the relay's lasting tasks and actions going past a fault; pools by address

Found by reading: an exception in the handling of one action, or in discovery's, the notices' or the notes' task, ended the process (Relay.feed, Relay.run). Each is now logged and the rest goes on. Idle connections were kept by endpoint, so one that moved would have been called where it was; they are kept by address. A client whose side of the connection has ended is answered 503 in place of silence.

Tried and left out: telling a given-up message when its destination's rest is over.

--- a/calicohitch/net/clients.py
+++ b/calicohitch/net/clients.py
@@ -162,9 +162,9 @@
         except BadRequest as err:
             await connection.respond(err.status, body=str(err).encode())
             return
-        if connection.client_left():  # it may hand the message in elsewhere by now
-            return
-        number = self._relay.take(told)
+        # A client that ended its sending has left, and may hand the message in elsewhere by now; should it
+        # listen still, a refusal is harmless.
+        number = Refusal.LEFT if connection.client_left() else self._relay.take(told)
         if isinstance(number, Refusal):
             elsewhere = number is not Refusal.FULL
             retry = _ELSEWHERE_RETRY_S if elsewhere else _BUSY_RETRY_S
--- a/calicohitch/net/endpoints.py
+++ b/calicohitch/net/endpoints.py
@@ -95,12 +95,12 @@
     ) -> None:
         self._clock, self._fields, self._connect_s, self._most = clock, fields, connect_ms / 1e3, most
         self._idle_ms = idle_ms * _IDLE_SHARE or math.inf
-        self._idle: dict[int, deque[ClientConnection]] = {}
+        # By address: an endpoint that moves is not called where it was.
+        self._idle: dict[Address, deque[ClientConnection]] = {}
         self._open = 0
 
     async def call(
         self,
-        endpoint: int,
         address: Address,
         call: Call,
         scope: anyio.CancelScope,
@@ -115,7 +115,7 @@
         timer = anyio.CancelScope(deadline=deadline)
         try:
             with scope, timer:
-                connection = self._warm(endpoint)
+                connection = self._warm(address)
                 if connection is None:
                     connection = await self._connect(address)
                     if not wanted():
@@ -127,7 +127,7 @@
             return Result(Outcome.CONNECT_FAILED if never else Outcome.RESET)
         finally:
             if connection is not None:
-                self._give_back(endpoint, connection, unsent or response is not None)
+                self._give_back(address, connection, unsent or response is not None)
         if response is None and connection is not None:
             response = connection.head  # its body was cut short, but the answer is there
         if response is not None:
@@ -148,9 +148,9 @@
             self._open -= 1
             raise
 
-    def _warm(self, endpoint: int) -> ClientConnection | None:
+    def _warm(self, address: Address) -> ClientConnection | None:
         """The idle connection that was used last, if it can still be used: the others may then grow old."""
-        pool = self._idle.get(endpoint, deque())
+        pool = self._idle.get(address, deque())
         while pool:
             connection = pool.pop()
             if connection.reusable and connection.idle_since > self._clock.now() - self._idle_ms:
@@ -158,10 +158,10 @@
             self._close(connection)
         return None
 
-    def _give_back(self, endpoint: int, connection: ClientConnection, ended_well: bool) -> None:
+    def _give_back(self, address: Address, connection: ClientConnection, ended_well: bool) -> None:
         if ended_well and connection.reusable:
             connection.idle_since = self._clock.now()
-            self._idle.setdefault(endpoint, deque()).append(connection)
+            self._idle.setdefault(address, deque()).append(connection)
         else:
             self._close(connection)
 
@@ -175,18 +175,18 @@
             self._close(min(pools, key=lambda pool: pool[0].idle_since).popleft())
         return bool(pools)
 
-    def close_idle(self, endpoint: int) -> None:
-        for connection in self._idle.pop(endpoint, ()):
+    def close_idle(self, address: Address) -> None:
+        for connection in self._idle.pop(address, ()):
             self._close(connection)
 
     def close_old(self) -> None:
         """Close what has long stood idle, before the endpoints do: a request that crosses that is lost."""
         before = self._clock.now() - self._idle_ms
-        for endpoint, pool in list(self._idle.items()):
+        for address, pool in list(self._idle.items()):
             while pool and (pool[0].idle_since <= before or not pool[0].reusable):
                 self._close(pool.popleft())
             if not pool:
-                del self._idle[endpoint]
+                del self._idle[address]
 
     async def run(self) -> None:
         while True:
--- a/calicohitch/net/http.py
+++ b/calicohitch/net/http.py
@@ -8,6 +8,7 @@
 import os
 import socket
 from dataclasses import dataclass
+from http import HTTPStatus
 
 import anyio
 import h11
@@ -230,7 +231,8 @@
         headers = [*(headers or []), (b"Content-Length", str(len(body)).encode())]
         if close:
             headers.append((b"Connection", b"close"))
-        data = self._http.send(h11.Response(status_code=status, headers=headers)) or b""
+        head = h11.Response(status_code=status, headers=headers, reason=HTTPStatus(status).phrase)
+        data = self._http.send(head) or b""
         if body:
             data += self._http.send(h11.Data(data=body)) or b""
         data += self._http.send(h11.EndOfMessage()) or b""
--- a/calicohitch/net/peers.py
+++ b/calicohitch/net/peers.py
@@ -14,8 +14,9 @@
 
 
 class Peers:
-    def __init__(self, listen: Address, peers: tuple[Address, ...], everyone: Address | None) -> None:
-        self._peers, self._everyone = peers, everyone
+    def __init__(self, listen: Address, peers: tuple[Address, ...], everyone: Address | None,
+                 heard: Callable[[int, bytes], None]) -> None:
+        self._peers, self._everyone, self._heard = peers, everyone, heard
         self._numbers = {(peer.host, peer.port): n for n, peer in enumerate(peers)}
         family = socket.AF_INET6 if ":" in listen.host else socket.AF_INET
         self._sock = socket.socket(family, socket.SOCK_DGRAM)
@@ -32,7 +33,7 @@
         except OSError as err:
             logger.debug("a note was lost: {}", err)
 
-    async def run(self, heard: Callable[[int, bytes], None]) -> None:
+    async def run(self) -> None:
         while True:
             await anyio.wait_readable(self._sock)
             try:
@@ -42,7 +43,7 @@
                 continue
             number = self._numbers.get(sender[:2])
             if number is not None and len(data) <= MAX_NOTE:
-                heard(number, data)
+                self._heard(number, data)
 
     def close(self) -> None:
         self._sock.close()
--- a/calicohitch/net/relay.py
+++ b/calicohitch/net/relay.py
@@ -8,6 +8,7 @@
 import heapq
 import math
 from collections import deque
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -35,6 +36,7 @@
     STARTING = "the relay is starting"
     STOPPING = "the relay is stopping"
     FULL = "no room for another message"
+    LEFT = "the client has left"
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +62,16 @@
     calls: dict[int, anyio.CancelScope] = field(default_factory=dict)
 
 
+async def _kept_up(run: Callable[[], Awaitable[None]]) -> None:
+    """Guards the relay against a fault in one of the tasks that last as long as it does."""
+    while True:
+        try:
+            await run()
+        except Exception:
+            logger.exception("a task broke off and is started again")
+        await anyio.sleep(0.1)
+
+
 class Relay:
     """Decisions on sockets. `run` serves until it is cancelled; `take` hands a message in."""
 
@@ -89,19 +101,19 @@
         )
         self._peers: Peers | None = None
         if settings.may_tell and config.peer_listen:
-            self._peers = Peers(config.peer_listen, config.peers, config.peers_all)
+            self._peers = Peers(config.peer_listen, config.peers, config.peers_all, self._heard)
 
     async def run(self) -> None:
         """Take up what an earlier life left open, then serve."""
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
-            tasks.start_soon(self._ring)
-            tasks.start_soon(self._notices.run)
-            tasks.start_soon(self._endpoints.run)
+            tasks.start_soon(_kept_up, self._ring)
+            tasks.start_soon(_kept_up, self._notices.run)
+            tasks.start_soon(_kept_up, self._endpoints.run)
             if self._peers:
-                tasks.start_soon(self._peers.run, lambda peer, data: self.feed(i.PeerSaid(peer, data)))
+                tasks.start_soon(_kept_up, self._peers.run)
             self._recover()
-            tasks.start_soon(self._discovery.run)
+            tasks.start_soon(_kept_up, self._discovery.run)
             # A silent discovery does not keep the relay from serving: the list in the configuration may do.
             with anyio.move_on_after(_LIST_S):
                 await self._discovery.heard.wait()
@@ -161,7 +173,10 @@
                 batch = list(self._events)
                 self._events.clear()
                 for action in self._decide(batch):
-                    self._do(action)
+                    try:
+                        self._do(action)
+                    except Exception:  # guards the actions behind it
+                        logger.exception("{} was not carried out", action)
         finally:
             self._feeding = False
 
@@ -172,6 +187,9 @@
             logger.exception("the decisions broke at {}", events)
             return []
 
+    def _heard(self, peer: int, data: bytes) -> None:
+        self.feed(i.PeerSaid(peer, data))
+
     def _do(self, action: i.Action) -> None:
         match action:
             case i.Send():
@@ -187,7 +205,7 @@
                 heapq.heappush(self._timers, (self._clock.now() + to_ms(delay), token))
                 self._timer_set.set()
             case i.CloseIdle(endpoint):
-                self._endpoints.close_idle(endpoint)
+                self._endpoints.close_idle(self._directory.address(endpoint))
             case i.Tell(peer, data) if self._peers:
                 self._peers.tell(peer, data)
             case i.Log(text):
@@ -216,8 +234,7 @@
         call = Call(entry.id, entry.key, entry.body, min(to_ms(action.timeout) or left, left))
         try:
             result = await self._endpoints.call(
-                endpoint, self._directory.address(endpoint), call, message.calls[attempt],
-                wanted=lambda: self._wanted(action))
+                self._directory.address(endpoint), call, message.calls[attempt], lambda: self._wanted(action))
         except Exception:  # guards all other messages against a fault in the handling of one
             logger.exception("a call broke off")
             result = Result(i.Outcome.RESET)
--- a/calicohitch/service.py
+++ b/calicohitch/service.py
@@ -22,6 +22,7 @@
     """Serve until SIGTERM or SIGINT, then go on with what is open until that is over too."""
     relay = Relay(config, clock or Clock(), Journal(config.state, config.limits.disk_mb * _MB))
     with listen(config.listen) as listener:
+        logger.info("{} listens at {}", config.name, config.listen)
         clients = Clients(relay, config.names.classes, listener)
         try:
             async with anyio.create_task_group() as tasks:
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -159,13 +159,17 @@
     def test_notes_come_from_known_relays_only(self) -> None:
         async def run() -> None:
             heard: list[tuple[int, bytes]] = []
-            one = Peers(Address("127.0.0.1", 0), (), None)
+
+            def note(number: int, data: bytes) -> None:
+                heard.append((number, data))
+
+            one = Peers(Address("127.0.0.1", 0), (), None, note)
             here = Address(*one._sock.getsockname())
-            two = Peers(Address("127.0.0.1", 0), (here,), here)
-            stranger = Peers(Address("127.0.0.1", 0), (here,), None)
+            two = Peers(Address("127.0.0.1", 0), (here,), here, note)
+            stranger = Peers(Address("127.0.0.1", 0), (here,), None, note)
             one._numbers = {two._sock.getsockname(): 3}
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(one.run, lambda number, data: heard.append((number, data)))
+                tasks.start_soon(one.run)
                 stranger.tell(0, b"who")
                 two.tell(0, bytes(257))  # too long to be sent
                 two.tell(5, b"no such relay")
--- a/tests/test_relay_rules.py
+++ b/tests/test_relay_rules.py
@@ -93,7 +93,7 @@
 
         async def call(timeout: float = 5_000, wanted: bool = True) -> Result:
             told = Call("a1", None, b"x", timeout)
-            return await endpoints.call(1, world.endpoint.address, told, anyio.CancelScope(), lambda: wanted)
+            return await endpoints.call(world.endpoint.address, told, anyio.CancelScope(), lambda: wanted)
 
         for answer, outcome, ended, wait in cases:
             with self.subTest(answer=answer):
@@ -107,7 +107,7 @@
         made = len(world.endpoint.accepted)
         await call()
         self.assertEqual(len(world.endpoint.accepted), made)  # a warm connection is used again
-        endpoints.close_idle(1)
+        endpoints.close_idle(world.endpoint.address)
 
         async def hang(_request: Request) -> None:
             await anyio.sleep(LIMIT)
@@ -115,7 +115,7 @@
         world.endpoint.handle = hang  # type: ignore[assignment]
         self.assertEqual((await call(30)).outcome, Outcome.TIMEOUT)
         self.assertEqual((await call(wanted=False)).outcome, Outcome.MOOT)
-        endpoints.close_idle(1)
+        endpoints.close_idle(world.endpoint.address)
         world.endpoint.listener.close()
         self.assertEqual((await call()).outcome, Outcome.CONNECT_FAILED)
         self.assertEqual(endpoints._open, 0)
@@ -125,7 +125,7 @@
         clock = ManualClock()
         endpoints = Endpoints(clock, (), 10_000, 1_500, 8)
         call = Call("a1", None, b"x", 5_000)
-        await endpoints.call(1, world.endpoint.address, call, anyio.CancelScope(), lambda: True)
+        await endpoints.call(world.endpoint.address, call, anyio.CancelScope(), lambda: True)
         for step, left in ((8_900, 1), (200, 0)):
             clock.advance(step)
             endpoints.close_old()
