A time-out also closes the idle connections to its endpoint; a bound on clients' connections

A machine that is cut off gives no sign, so the pool's other connections to it end calls as resets once it is back, and those may have run (Endpoints.call). At the bound, clients wait in the backlog while the connection that has been idle longest is closed.

--- a/calicohitch/net/clients.py
+++ b/calicohitch/net/clients.py
@@ -80,6 +80,10 @@
     async def run(self) -> None:
         async with anyio.create_task_group() as tasks:
             while True:
+                if self._connections >= self._relay.max_clients:  # the others wait in the backlog
+                    self.close_waiting(1)
+                    await anyio.sleep(0.01)
+                    continue
                 try:
                     sock, _ = self._listener.accept()
                 except BlockingIOError:
@@ -90,8 +94,6 @@
                     await anyio.sleep(0.02)
                     continue
                 self._connections += 1
-                if self._connections > self._relay.max_clients:
-                    self.close_waiting(1)
                 tasks.start_soon(self._serve, sock)
 
     async def _serve(self, sock: socket.socket) -> None:
--- a/calicohitch/net/endpoints.py
+++ b/calicohitch/net/endpoints.py
@@ -134,6 +134,9 @@
             return result_of(response, self._fields)
         if scope.cancelled_caught:
             return Result(Outcome.CANCELLED)
+        # Guards against a machine cut off: its connections stay open and silent, and calls on them end
+        # as resets, which may have run, once it is back. Where it was merely slow this costs handshakes.
+        self.close_idle(address)
         sent = connection is not None and connection.sent
         return Result(Outcome.TIMEOUT if sent else Outcome.CONNECT_FAILED)
 
--- a/tests/test_relay_rules.py
+++ b/tests/test_relay_rules.py
@@ -5,10 +5,12 @@
 import unittest
 from collections.abc import Awaitable, Callable
 from pathlib import Path
+from unittest import mock
 
 import anyio
-from world import LIMIT, World, member, play, until
+from world import LIMIT, Party, World, member, play, until
 
+from calicohitch import interface as i
 from calicohitch.clock import ManualClock
 from calicohitch.interface import Outcome
 from calicohitch.journal import End, Entry, Journal
@@ -109,11 +111,18 @@
         self.assertEqual(len(world.endpoint.accepted), made)  # a warm connection is used again
         endpoints.close_idle(world.endpoint.address)
 
-        async def hang(_request: Request) -> None:
+        async def hang_once(request: Request) -> object:
+            world.endpoint.handle = world._deliver
             await anyio.sleep(LIMIT)
+            return None
 
-        world.endpoint.handle = hang  # type: ignore[assignment]
+        async with anyio.create_task_group() as tasks:  # two connections, of which one is idle
+            tasks.start_soon(call)
+            await call()
+        self.assertEqual(endpoints._open, 2)
+        world.endpoint.handle = hang_once  # type: ignore[assignment]
         self.assertEqual((await call(30)).outcome, Outcome.TIMEOUT)
+        self.assertEqual(endpoints._open, 0)  # the idle one may be as dead as the other
         self.assertEqual((await call(wanted=False)).outcome, Outcome.MOOT)
         endpoints.close_idle(world.endpoint.address)
         world.endpoint.listener.close()
@@ -183,6 +192,51 @@
             self.assertEqual(len(relay._sender._endpoints), 1)
 
 
+class Faults(unittest.TestCase):
+    @in_world
+    async def test_a_fault_in_the_decisions_or_a_task_does_not_end_the_relay(self, world: World) -> None:
+        async with world.relay() as relay:
+            with mock.patch.object(relay._sender, "handle", side_effect=IndexError):
+                await world.hand_in("lost")
+            with mock.patch.object(relay._sender, "handle", return_value=[i.Send(99, 1), i.SetTimer(1, 1)]):
+                relay.feed(i.Rang(0))  # a send of a message that is not there
+                self.assertEqual(len(relay._timers), 1)
+            with mock.patch.object(relay._directory, "read", side_effect=RuntimeError):
+                world.change(member(str(world.endpoint.address)))
+                await until(lambda: relay._directory.read.called)  # type: ignore[attr-defined]
+            await world.hand_in("a2")
+            await until(lambda: world.endpoint.requests)
+            world.change(member(str(world.endpoint.address), phase="Terminating"))
+            await until(lambda: not relay._sender._endpoints)  # discovery is watched again
+        self.assertEqual(world.endpoint.requests[0].headers[b"req-id"], b"a2")
+
+    @in_world
+    async def test_a_crowd_of_idle_clients_does_not_keep_others_out(self, world: World) -> None:
+        async with world.relay() as relay:
+            relay.max_clients = 3
+            idle = [await Link.connect(world.client) for _ in range(6)]
+            self.assertEqual((await world.hand_in()).status, 202)
+            await until(lambda: sum(link.has_ended() for link in idle) >= 3)
+            for link in idle:
+                link.close()
+
+    @in_world
+    async def test_an_endpoint_that_moved_is_called_where_it_is(self, world: World) -> None:
+        async with world.relay() as relay:
+            await world.hand_in("a1")
+            await until(lambda: relay.idle)
+            moved = Party(world._deliver)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(moved.run)
+                world.change(member(str(moved.address)))
+                await until(lambda: relay._directory.address(1) == moved.address)
+                await world.hand_in("a2")
+                await until(lambda: moved.requests)
+                tasks.cancel_scope.cancel()
+            moved.listener.close()
+        self.assertEqual(len(world.endpoint.requests), 1)
+
+
 class Restarts(unittest.TestCase):
     def entry(self, world: World, number: int, age: float = 0.0) -> Entry:
         deadline = world.clock.now() - age + 24_000
