--- a/calicohitch/net/relay.py
+++ b/calicohitch/net/relay.py
@@ -112,11 +112,13 @@
             tasks.start_soon(_kept_up, self._endpoints.run)
             if self._peers:
                 tasks.start_soon(_kept_up, self._peers.run)
-            self._recover()
+            self._read_known()
             tasks.start_soon(_kept_up, self._discovery.run)
-            # A silent discovery does not keep the relay from serving: the list in the configuration may do.
+            # The list in the configuration may be old, and an endpoint on it drain by now: nothing is sent
+            # before discovery was heard. A silent one does not keep the relay from serving.
             with anyio.move_on_after(_LIST_S):
                 await self._discovery.heard.wait()
+            self._recover()
             self.ready = True
 
     @property
@@ -291,13 +293,15 @@
             self._by_id.pop(message.entry.id, None)
         return message
 
-    def _recover(self) -> None:
-        """Tell the decisions what an earlier life left open, and send the notices that it still owes."""
+    def _read_known(self) -> None:
         if self._config.known:
             try:
                 self.feed(self._directory.read(self._config.known).told(cached=True))
             except ListError as err:
                 logger.warning("the list in the configuration is left out: {}", err)
+
+    def _recover(self) -> None:
+        """Tell the decisions what an earlier life left open, and send the notices that it still owes."""
         now, arrived = self._clock.now(), []
         for entry in list(self._journal.entries.values()):
             if entry.end:
--- a/tests/test_relay_rules.py
+++ b/tests/test_relay_rules.py
@@ -258,6 +258,20 @@
         self.assertEqual([n["message"] for n in world.notices], ["m2"])
         self.assertEqual(left_open(world.folder), 0)
 
+    @in_world
+    async def test_nothing_is_sent_by_an_old_list_before_discovery_was_heard(self, world: World) -> None:
+        ready = member(str(world.endpoint.address))
+        world.change(ready | {"phase": "Terminating"})
+        journal = Journal(world.folder, 3e6)
+        journal.taken(self.entry(world, 1))
+        journal.close()
+        known = {"revision": 0, "complete": True, "members": [ready]}
+        with mock.patch("calicohitch.net.relay._LIST_S", LIMIT):
+            async with world.relay(known=known) as relay:
+                self.assertEqual((len(relay._open), relay._sender._slots_taken), (1, 0))
+        async with world.relay(known=known, discovery="127.0.0.1:9"):
+            await until(lambda: world.endpoint.requests)  # with no discovery, an old list has to do
+
     @in_world
     async def test_attempts_count_over_all_lives(self, world: World) -> None:
         journal, now = Journal(world.folder, 3e6), world.clock.now()
