End a message that a fault in the decisions has lost

An exception in Sender.handle drops the events of that batch; a message among them stayed open for good and would have been reported lost 300 ms after its time. Relay._end_overdue gives such a message up; with sound decisions it finds none.

--- a/calicohitch/net/relay.py
+++ b/calicohitch/net/relay.py
@@ -27,6 +27,7 @@
 from .peers import Peers
 
 _LIST_S = 0.3
+_OVERDUE_MS = 100.0
 _SPARE_SOCKETS = 24  # the listener, discovery, notices, notes, the journal, and what the interpreter holds
 
 
@@ -108,6 +109,7 @@
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             tasks.start_soon(_kept_up, self._ring)
+            tasks.start_soon(_kept_up, self._end_overdue)
             tasks.start_soon(_kept_up, self._notices.run)
             tasks.start_soon(_kept_up, self._endpoints.run)
             if self._peers:
@@ -332,6 +334,17 @@
                 self.feed(i.Rang(heapq.heappop(self._timers)[1]))
                 await anyio.sleep(0)
 
+    async def _end_overdue(self) -> None:
+        """Guards messages that a fault in the decisions has lost: each is owed its end. The decisions end a
+        message before its time is up, so this finds none unless they broke."""
+        while True:
+            await anyio.sleep(_OVERDUE_MS / 1e3)
+            overdue = self._clock.now() - _OVERDUE_MS
+            for number in [n for n, open_ in self._open.items() if open_.entry.deadline < overdue]:
+                logger.error("message {} was overdue and is given up", self._open[number].entry.id)
+                self.feed(i.Withdrawn(number))
+                self._end(number, End(False))
+
     def close(self) -> None:
         if self._peers:
             self._peers.close()
--- a/tests/test_relay_rules.py
+++ b/tests/test_relay_rules.py
@@ -197,7 +197,8 @@
     async def test_a_fault_in_the_decisions_or_a_task_does_not_end_the_relay(self, world: World) -> None:
         async with world.relay() as relay:
             with mock.patch.object(relay._sender, "handle", side_effect=IndexError):
-                await world.hand_in("lost")
+                await world.hand_in("lost", Req_Deadline_Ms="200")
+                await until(lambda: world.notices)  # its end is owed all the same
             with mock.patch.object(relay._sender, "handle", return_value=[i.Send(99, 1), i.SetTimer(1, 1)]):
                 relay.feed(i.Rang(0))  # a send of a message that is not there
                 self.assertEqual(len(relay._timers), 1)
@@ -209,6 +210,7 @@
             world.change(member(str(world.endpoint.address), phase="Terminating"))
             await until(lambda: not relay._sender._endpoints)  # discovery is watched again
         self.assertEqual(world.endpoint.requests[0].headers[b"req-id"], b"a2")
+        self.assertEqual(world.notices, [{"message": "lost", "outcome": "given_up"}])
 
     @in_world
     async def test_a_crowd_of_idle_clients_does_not_keep_others_out(self, world: World) -> None:
