--- a/tests/test_relay_rules.py
+++ b/tests/test_relay_rules.py
@@ -11,7 +11,7 @@
 from world import LIMIT, Party, World, member, play, until
 
 from calicohitch import interface as i
-from calicohitch.clock import ManualClock
+from calicohitch.clock import ManualClock, to_micros
 from calicohitch.interface import Outcome
 from calicohitch.journal import End, Entry, Journal
 from calicohitch.net.endpoints import Call, Endpoints, Result
@@ -177,6 +177,21 @@
             await until(lambda: world.notices)
         self.assertEqual(world.endpoint.requests, [])
 
+    @in_world
+    async def test_a_call_whose_connection_comes_up_too_late_is_not_sent(self, world: World) -> None:
+        async with world.relay() as relay:
+            send, now = i.Send(1, 1), to_micros(world.clock.now())
+            self.assertTrue(relay._wanted(send))
+            self.assertTrue(relay._wanted(i.Send(1, 1, not_after=now + 10**8)))
+            self.assertFalse(relay._wanted(i.Send(1, 1, not_after=now - 1)))
+            world.answers = [(429, {"Wait-Ms": "60000"}, b"")]
+            await world.hand_in()
+            await until(lambda: not relay._wanted(send))  # told to wait
+            relay._waits.clear()
+            self.assertTrue(relay._wanted(send))
+            world.change(member(str(world.endpoint.address), phase="Terminating"))
+            await until(lambda: not relay._wanted(send))
+
     @in_world
     async def test_a_silent_discovery_is_asked_again_and_the_list_kept(self, world: World) -> None:
         kept, asked = world.platform.handle, 0
@@ -348,6 +363,22 @@
             self.assertEqual((refused.status, refused.headers[b"retry-after"]), (503, b"0.1"))
         self.assertEqual(answers[0].status, 202)
 
+    @in_world
+    async def test_a_request_that_was_begun_before_a_stop_is_answered(self, world: World) -> None:
+        async with world.relay() as relay:
+            idle, begun = await Link.connect(world.client), await Link.connect(world.client)
+            await begun.send(b"POST /orders HTTP/1.1\r\nHost: r\r\nReq-Id: a1\r\nReq-Dead")
+            await until(lambda: world.clients.answering == 1)
+            relay.stopping = True
+            world.clients.close_waiting()
+            self.assertEqual(await idle.receive(), b"")
+            await begun.send(b"line-Ms: 5000\r\nEnvelope: dest=7\r\nContent-Length: 0\r\n\r\n")
+            answer = await begun.receive()
+            self.assertEqual(answer[9:12], b"503")
+            self.assertIn(b"close", answer)
+            idle.close()
+            begun.close()
+
     @in_world
     async def test_a_client_that_left_is_not_taken_on(self, world: World) -> None:
         async with world.relay() as relay:
--- a/tests/world.py
+++ b/tests/world.py
@@ -120,7 +120,8 @@
             self.client = Address(*listener.getsockname())
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(relay.run)
-                tasks.start_soon(Clients(relay, config.names.classes, listener).run)
+                self.clients = Clients(relay, config.names.classes, listener)
+                tasks.start_soon(self.clients.run)
                 await until(lambda: relay.ready)
                 yield relay
                 tasks.cancel_scope.cancel()
