--- a/calicohitch/net/discovery.py
+++ b/calicohitch/net/discovery.py
@@ -106,6 +106,7 @@
     def __init__(self, address: Address, directory: Directory, tell: Callable[[ListTold], None]) -> None:
         self._address, self._directory, self._tell = address, directory, tell
         self._version: int | None = None
+        self._failures = 0
         self._connection: ClientConnection | None = None
         self.heard = anyio.Event()  # set by the first answer
 
@@ -113,8 +114,13 @@
         while True:
             try:
                 await self._ask()
-            except (OSError, TimeoutError, ListError, ValueError) as err:
-                logger.warning("discovery: {}: {}", type(err).__name__, err)
+                if self._failures:
+                    logger.info("discovery answers again, after {} failures", self._failures)
+                self._failures = 0
+            except (OSError, ListError, ValueError) as err:  # a silent one is a TimeoutError, which is an OSError
+                if not self._failures:
+                    logger.warning("discovery: {}: {}; the list stays as it is", type(err).__name__, err)
+                self._failures += 1
                 self._close()
                 await anyio.sleep(_PAUSE_S)
 
--- a/calicohitch/net/endpoints.py
+++ b/calicohitch/net/endpoints.py
@@ -122,7 +122,7 @@
                         unsent = True
                         return Result(Outcome.MOOT)
                 response = await connection.request("POST", "/v1/messages", call.headers(address), call.body)
-        except (OSError, TimeoutError):
+        except OSError:
             never = connection is None or not connection.sent
             return Result(Outcome.CONNECT_FAILED if never else Outcome.RESET)
         finally:
--- a/calicohitch/net/notices.py
+++ b/calicohitch/net/notices.py
@@ -40,6 +40,7 @@
         self._address, self._acknowledged = address, acknowledged
         self._waiting: deque[Notice] = deque()
         self._news = anyio.Event()
+        self._failures = 0
         self._connection: ClientConnection | None = None
 
     def add(self, notice: Notice) -> None:
@@ -58,11 +59,14 @@
             batch = [self._waiting[n] for n in range(min(most, len(self._waiting)))]
             try:
                 status = await self._post("".join(notice.line() + "\n" for notice in batch).encode())
-            except (OSError, TimeoutError) as err:
-                logger.warning("notices: {}: {}", type(err).__name__, err)
+            except OSError as err:
+                if not self._failures:
+                    logger.warning("notices: {}: {}; they are sent again", type(err).__name__, err)
+                self._failures += 1
                 self._close()
                 await anyio.sleep(_PAUSE_S)
                 continue
+            self._failures = 0
             if status == 400 and len(batch) > 1:
                 most = 1  # find the one that cannot be read
                 continue
