--- a/calicohitch/net/discovery.py
+++ b/calicohitch/net/discovery.py
@@ -117,7 +117,7 @@
                 if self._failures:
                     logger.info("discovery answers again, after {} failures", self._failures)
                 self._failures = 0
-            except (OSError, ListError, ValueError) as err:  # a silent one is a TimeoutError, which is an OSError
+            except (OSError, ListError, ValueError) as err:  # silence is a TimeoutError: an OSError
                 if not self._failures:
                     logger.warning("discovery: {}: {}; the list stays as it is", type(err).__name__, err)
                 self._failures += 1
