Follow a new configuration on SIGHUP: discovery and notices move to its address

A look at a running relay's environment and file: NODE_DISCOVERY still holds the address of the start after SIGHUP, only the file has the new one. A process's environment cannot change under it, so on SIGHUP a variable outweighs the file only where the file still says what it said at the start.

At fault: service._stopped listened for SIGTERM and SIGINT alone; Discovery and Notices fixed their address. Both now ask through http.KeptConnection, which leaves what is under way at an old address. A file that cannot be read is logged and the old one kept. Ruled out: a re-read in the environment's favour (it would never move).

Tests: the program moves on SIGHUP (fails without it), survives SIGHUP while starting and a broken file.

--- a/calicohitch/cli.py
+++ b/calicohitch/cli.py
@@ -11,7 +11,7 @@
 from loguru import logger
 
 from . import __version__
-from .config import ConfigError, load
+from .config import ConfigError, load, reload
 from .service import serve
 
 
@@ -40,5 +40,5 @@
     logger.remove()
     logger.add(sys.stderr, level=os.environ.get("NODE_LOG_LEVEL", "INFO"),
         format="{time:HH:mm:ss.SSS} {level} {message}")
-    anyio.run(serve, config)
+    anyio.run(serve, config, lambda: reload(config, os.environ))
     return 0
--- a/calicohitch/config.py
+++ b/calicohitch/config.py
@@ -4,7 +4,7 @@
 
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
@@ -12,6 +12,9 @@
 from .settings import Names, names_from, settings_from
 
 
+_VARIABLES = ("name", "listen", "discovery", "state")  # what NODE_NAME, NODE_LISTEN and so on tell
+
+
 class ConfigError(Exception):
     """A configuration that a relay cannot start with; the text says which part and why."""
 
@@ -59,10 +62,33 @@
     peers: tuple[Address, ...] = ()
     peers_all: Address | None = None
     known: Mapping[str, Any] | None = None
+    in_file: Mapping[str, Any] = field(default_factory=dict)  # what the file said, before the variables
 
 
 def load(env: Mapping[str, str]) -> Config:
     """The configuration that the environment names; a variable outweighs the file."""
+    return _outweighed(_read(env), env)
+
+
+def reload(before: Config, env: Mapping[str, str]) -> Config:
+    """The configuration, read afresh by a process that runs already. Its environment is that of its start, so
+    a variable outweighs the file only where the file still says what it then said beside it."""
+    told = _read(env)
+    stale = {_variable(key) for key in _VARIABLES if told.get(key) != before.in_file.get(key)}
+    return _outweighed(told, {name: value for name, value in env.items() if name not in stale})
+
+
+def _variable(key: str) -> str:
+    return f"NODE_{key.upper()}"
+
+
+def _outweighed(told: dict[str, Any], env: Mapping[str, str]) -> Config:
+    in_file = {key: told.get(key) for key in _VARIABLES}
+    return replace(parse(told | {key: env.get(_variable(key)) or in_file[key] for key in _VARIABLES}),
+        in_file=in_file)
+
+
+def _read(env: Mapping[str, str]) -> dict[str, Any]:
     path = env.get("NODE_CONFIG")
     if not path:
         raise ConfigError("NODE_CONFIG must name the configuration file")
@@ -72,9 +98,7 @@
         raise ConfigError(f"the configuration {path} cannot be read: {err}") from err
     if not isinstance(told, dict):
         raise ConfigError(f"the configuration {path} must be a JSON object")
-    for key in ("name", "listen", "discovery", "state"):
-        told[key] = env.get(f"NODE_{key.upper()}") or told.get(key)
-    return parse(told)
+    return told
 
 
 def parse(told: Mapping[str, Any]) -> Config:
--- a/calicohitch/net/discovery.py
+++ b/calicohitch/net/discovery.py
@@ -14,7 +14,7 @@
 from ..config import Address, ConfigError
 from ..interface import Listed, ListKind, ListTold, Phase
 from ..settings import Names
-from .http import ClientConnection
+from .http import KeptConnection
 
 # News that a lost watch held back counts as told two seconds after the watch's end: short watches find a
 # discovery that has fallen silent, and ask it again, before that.
@@ -104,12 +104,17 @@
     """Asks for the whole list, then watches it; while discovery is silent the list stays as it is."""
 
     def __init__(self, address: Address, directory: Directory, tell: Callable[[ListTold], None]) -> None:
-        self._address, self._directory, self._tell = address, directory, tell
+        self._agent = KeptConnection(address, _MAX_LIST, needs_body=True)
+        self._directory, self._tell = directory, tell
         self._version: int | None = None
         self._failures = 0
-        self._connection: ClientConnection | None = None
         self.heard = anyio.Event()  # set by the first answer
 
+    def move(self, address: Address) -> None:
+        """Ask for the whole list there from now on; a watch under way at the old address is left."""
+        self._version = None
+        self._agent.move(address)
+
     async def run(self) -> None:
         while True:
             try:
@@ -121,19 +126,13 @@
                 if not self._failures:
                     logger.warning("discovery: {}: {}; the list stays as it is", type(err).__name__, err)
                 self._failures += 1
-                self._close()
                 await anyio.sleep(_PAUSE_S)
 
     async def _ask(self) -> None:
         target, limit = "/registry/instances", _ANSWER_S
         if self._version is not None:
             target, limit = f"{target}?index={self._version}&wait={WATCH_MS}", _ANSWER_S + WATCH_MS / 1e3
-        with anyio.fail_after(limit):
-            if self._connection is None or not self._connection.reusable:
-                self._close()
-                self._connection = await ClientConnection.open(self._address, _MAX_LIST, needs_body=True)
-            host = [(b"Host", str(self._address).encode())]
-            response = await self._connection.request("GET", target, host)
+        response = await self._agent.request("GET", target, limit)
         if response.status != 200:
             raise ListError(f"the answer is {response.status}")
         update = self._directory.read(json.loads(response.body))
@@ -141,10 +140,3 @@
             self._tell(update.told())
         self._version = update.version
         self.heard.set()
-
-    def _close(self) -> None:
-        if self._connection is not None:
-            self._connection.close()
-            self._connection = None
-
-
--- a/calicohitch/net/http.py
+++ b/calicohitch/net/http.py
@@ -171,12 +171,54 @@
         return Response(self.head.status, self.head.headers, bytes(body))
 
 
+class KeptConnection:
+    """A connection to a server that is asked again and again, opened anew where it broke or moved."""
+
+    def __init__(self, address: Address, max_body: int = MAX_BODY, needs_body: bool = False) -> None:
+        self._address, self._max_body, self._needs_body = address, max_body, needs_body
+        self._connection: ClientConnection | None = None
+        self._connected_to = address
+        self._asking = anyio.CancelScope()
+
+    def move(self, address: Address) -> None:
+        """The server is there from now on; a request under way at the old address is left."""
+        self._address = address
+        self._asking.cancel()
+
+    async def request(
+        self, method: str, target: str, limit_s: float, headers: Headers | None = None, body: bytes = b""
+    ) -> Response:
+        """The response; OSError where none came in time, or the server moved meanwhile."""
+        address = self._address
+        headers = [(b"Host", str(address).encode()), *(headers or [])]
+        try:
+            with anyio.fail_after(limit_s), anyio.CancelScope() as self._asking:
+                connection = self._connection
+                if connection is None or self._connected_to != address or not connection.reusable:
+                    self._close()
+                    connection = await ClientConnection.open(address, self._max_body, self._needs_body)
+                    self._connection, self._connected_to = connection, address
+                response = await connection.request(method, target, headers, body)
+            if self._address != address:
+                raise ConnectionResetError(f"the address is now {self._address}")
+            return response
+        except BaseException:
+            self._close()
+            raise
+
+    def _close(self) -> None:
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+
+
 @dataclass(frozen=True, slots=True)
 class Request:
     method: str
     path: str
     headers: dict[bytes, bytes]
     body: bytes
+    query: str = ""
 
 
 class ServerConnection:
@@ -222,8 +264,8 @@
             elif isinstance(event, h11.ConnectionClosed):
                 return None
         assert head is not None
-        path = head.target.decode("ascii", "replace").partition("?")[0]
-        return Request(head.method.decode("ascii", "replace"), path, dict(head.headers), bytes(body))
+        path, _, query = head.target.decode("ascii", "replace").partition("?")
+        return Request(head.method.decode("ascii", "replace"), path, dict(head.headers), bytes(body), query)
 
     async def respond(
         self, status: int, headers: Headers | None = None, body: bytes = b"", close: bool = False
--- a/calicohitch/net/notices.py
+++ b/calicohitch/net/notices.py
@@ -12,7 +12,7 @@
 
 from ..config import Address
 from ..journal import End
-from .http import ClientConnection
+from .http import KeptConnection
 
 _BATCH = 200  # notices in one request: well under 64 KiB
 _ANSWER_S = 1.0
@@ -37,11 +37,14 @@
     """Sends notices in order until each is acknowledged; open messages bound how many can wait."""
 
     def __init__(self, address: Address, acknowledged: Callable[[int], None]) -> None:
-        self._address, self._acknowledged = address, acknowledged
+        self._agent, self._acknowledged = KeptConnection(address), acknowledged
         self._waiting: deque[Notice] = deque()
         self._news = anyio.Event()
         self._failures = 0
-        self._connection: ClientConnection | None = None
+
+    def move(self, address: Address) -> None:
+        """What is not acknowledged yet goes there: a notice that comes twice does no harm."""
+        self._agent.move(address)
 
     def add(self, notice: Notice) -> None:
         self._waiting.append(notice)
@@ -63,7 +66,6 @@
                 if not self._failures:
                     logger.warning("notices: {}: {}; they are sent again", type(err).__name__, err)
                 self._failures += 1
-                self._close()
                 await anyio.sleep(_PAUSE_S)
                 continue
             self._failures = 0
@@ -81,14 +83,5 @@
                 self._acknowledged(notice.number)
 
     async def _post(self, body: bytes) -> int:
-        with anyio.fail_after(_ANSWER_S):
-            if self._connection is None or not self._connection.reusable:
-                self._close()
-                self._connection = await ClientConnection.open(self._address)
-            headers = [(b"Host", str(self._address).encode()), (b"Content-Type", b"application/x-ndjson")]
-            return (await self._connection.request("POST", "/reports", headers, body)).status
-
-    def _close(self) -> None:
-        if self._connection is not None:
-            self._connection.close()
-            self._connection = None
+        headers = [(b"Content-Type", b"application/x-ndjson")]
+        return (await self._agent.request("POST", "/reports", _ANSWER_S, headers, body)).status
--- a/calicohitch/net/relay.py
+++ b/calicohitch/net/relay.py
@@ -9,7 +9,7 @@
 import math
 from collections import deque
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 
 import anyio
@@ -123,6 +123,14 @@
             self._recover()
             self.ready = True
 
+    def follow(self, config: Config) -> None:
+        """Take what a new configuration says of discovery; all else in it waits for the next start."""
+        if config.discovery != self._config.discovery:
+            logger.info("discovery is now at {}", config.discovery)
+        self._config = replace(self._config, discovery=config.discovery)
+        self._discovery.move(config.discovery)
+        self._notices.move(config.discovery)
+
     @property
     def idle(self) -> bool:
         """Nothing is owed to anyone."""
--- a/calicohitch/service.py
+++ b/calicohitch/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+from collections.abc import Callable
 
 import anyio
 from loguru import logger
@@ -18,8 +19,11 @@
 _SETTLE_S = 0.5  # clients keep coming for a moment after SIGTERM, and are told to go elsewhere
 
 
-async def serve(config: Config, clock: Clock | None = None) -> None:
-    """Serve until SIGTERM or SIGINT, then go on with what is open until that is over too."""
+async def serve(
+    config: Config, reload: Callable[[], Config] | None = None, clock: Clock | None = None
+) -> None:
+    """Serve until SIGTERM or SIGINT, then go on with what is open until that is over too. On SIGHUP `reload`
+    is asked for the configuration as it is then."""
     relay = Relay(config, clock or Clock(), Journal(config.state, config.limits.disk_mb * _MB))
     with listen(config.listen) as listener:
         logger.info("{} listens at {}", config.name, config.listen)
@@ -28,7 +32,7 @@
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(relay.run)
                 tasks.start_soon(clients.run)
-                await _stopped()
+                await _stopped(relay, reload)
                 logger.info("stopping: new messages are refused, open ones go on")
                 relay.stopping = True
                 await anyio.sleep(_SETTLE_S)
@@ -40,7 +44,15 @@
             relay.close()
 
 
-async def _stopped() -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            return
+async def _stopped(relay: Relay, reload: Callable[[], Config] | None) -> None:
+    """Follows new configurations until the end of the service is asked for."""
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+        async for number in signals:
+            if number != signal.SIGHUP:
+                return
+            try:
+                if reload:
+                    relay.follow(reload())
+            except Exception as err:  # whatever is wrong with the new one, the old one still serves
+                logger.error("the configuration stays as it was: {}", err)
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -11,7 +11,7 @@
 import anyio
 from world import SETTINGS, member, until
 
-from calicohitch.config import Address, ConfigError, load, parse
+from calicohitch.config import Address, ConfigError, load, parse, reload
 from calicohitch.interface import ListKind, Phase
 from calicohitch.journal import End
 from calicohitch.net.clients import BadRequest, read_submission
@@ -61,6 +61,10 @@
             env = {"NODE_CONFIG": str(path), "NODE_LISTEN": "127.0.0.1:1", "NODE_STATE": folder}
             config = load(env)
             self.assertEqual((config.listen.port, config.state), (1, Path(folder)))
+            path.write_text(json.dumps(GOOD | {"discovery": "127.0.0.1:2"}))
+            env["NODE_DISCOVERY"] = "127.0.0.1:3"  # as it was at the start, like the environment
+            fresh = reload(config, env)
+            self.assertEqual((fresh.discovery.port, fresh.listen.port), (2, 1))
             path.write_text("{")
             for bad in ({}, env, {"NODE_CONFIG": folder}):
                 with self.subTest(env=bad), self.assertRaises(ConfigError):
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 
 import anyio
-from world import LIMIT, SETTINGS, Address, Request, World, play, until
+from world import LIMIT, SETTINGS, Address, Party, Request, World, member, play, until
 
 from calicohitch import __version__
 from calicohitch.net.http import ClientConnection
@@ -25,13 +25,16 @@
         with socket.create_server(("127.0.0.1", 0)) as free:
             world.client = Address(*free.getsockname())
         path = world.folder / "config.json"
-        path.write_text(json.dumps({"name": "n0", "settings": SETTINGS}))
-        self.world = world
+        self.path, self.world = path, world
+        self.say({"discovery": str(world.platform.address)})
         self.env = os.environ | {
             "NODE_CONFIG": str(path), "NODE_STATE": str(world.folder / "state"),
             "NODE_LISTEN": str(world.client), "NODE_DISCOVERY": str(world.platform.address),
         }
 
+    def say(self, changes: dict[str, object]) -> None:
+        self.path.write_text(json.dumps({"name": "n0", "settings": SETTINGS} | changes))
+
     async def start(self) -> subprocess.Popen[bytes]:
         command = [sys.executable, "-B", "-m", "calicohitch", "serve"]
         process = subprocess.Popen(command, env=self.env, cwd=ROOT, stderr=subprocess.DEVNULL)
@@ -109,6 +112,43 @@
 
         play(test)
 
+    def test_sighup_moves_discovery_and_notices_to_the_new_address(self) -> None:
+        async def test(world: World) -> None:
+            moved = Party(world._discovery)
+            program = Program(world)
+            process = await program.start()
+            try:
+                await until(lambda: any("wait=" in r.query for r in world.platform.requests))
+                program.path.write_text("{")
+                process.send_signal(signal.SIGHUP)  # logged, and the old configuration kept
+                self.assertEqual((await world.hand_in("a1")).status, 202)
+                await until(lambda: world.endpoint.requests)
+                world.members = [member(str(world.endpoint.address), phase="Terminating")]
+                program.say({"discovery": str(moved.address)})  # which outweighs NODE_DISCOVERY by now
+                process.send_signal(signal.SIGHUP)
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(moved.run)
+                    await until(lambda: len(moved.requests) > 1)
+                    first = moved.requests[0]
+                    self.assertEqual((first.path, first.query), ("/registry/instances", ""))  # the whole list
+                    self.assertEqual((await world.hand_in("a2", Req_Deadline_Ms="1300")).status, 202)
+                    await until(lambda: any(r.path == "/reports" for r in moved.requests))
+                    tasks.cancel_scope.cancel()
+                self.assertIsNone(process.poll())
+            finally:
+                process.kill()
+                process.wait(LIMIT)
+                moved.listener.close()
+
+        play(test)
+
+    def test_sighup_while_starting_does_not_end_the_process(self) -> None:
+        code = ("import os, signal, runpy, sys; sys.argv[1:] = ['version']\n"
+                "try: runpy.run_module('calicohitch', run_name='__main__')\n"
+                "except SystemExit: os.kill(os.getpid(), signal.SIGHUP); print('alive')")
+        done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True)
+        self.assertIn("alive", done.stdout)
+
 
 class CommandLine(unittest.TestCase):
     def run_it(self, *arguments: str, **env: str) -> subprocess.CompletedProcess[str]:
