--- a/tests/test_long_queues.py
+++ b/tests/test_long_queues.py
@@ -41,7 +41,8 @@
                 taken = courier.next_id - 1
                 for ms in left:
                     courier.arrive(KEYED, left=ms * MS)
-                self.assertEqual(sends(courier.wait(10 * MS, courier.outcome(taken))), [(taken + 1 + first, 11)])
+                actions = courier.wait(10 * MS, courier.outcome(taken))
+                self.assertEqual(sends(actions), [(taken + 1 + first, 11)])
 
     def test_a_destination_waits_for_one_wake(self) -> None:
         courier = self.crowded()
