Bound bad clients from the connect, read spoilt answers strictly, forget what has gone

A trace of the bytes showed what comes: conflicting, negative and 3 GB lengths, broken chunks, lines without a colon, endless heads, '2x0', noise, and copies or noise behind good answers.

--- a/calicohitch/net/discovery.py
+++ b/calicohitch/net/discovery.py
@@ -42,21 +42,33 @@
         return ListTold(ListKind.CACHED if cached else kind, self.version, self.entries)
 
 
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One endpoint of the list, and where it is reached; one that goes may be told without an address."""
+
+    id: str
+    listed: Listed
+    address: Address | None
+
+
 class Directory:
-    """The numbers under which the decisions know endpoints, and where each is reached."""
+    """The numbers under which the decisions know endpoints, and where each is reached. What has gone is
+    forgotten: one that comes back under its old id gets a new number."""
 
     def __init__(self, names: Names) -> None:
         self._names = names
         self._numbers: dict[str, int] = {}
-        self._addresses: dict[int, Address] = {}
-        self._listed: dict[int, Listed] = {}
+        self._members: dict[int, Member] = {}
+        self._last = 0
+        self._dests: set[int] = set()
 
-    def address(self, endpoint: int) -> Address:
-        return self._addresses[endpoint]
+    def knows(self, dest: int) -> bool:
+        """Whether the list has named an endpoint for a destination; true of all while there is no list."""
+        return not self._dests or dest in self._dests
 
-    def listed(self, endpoint: int) -> Listed:
-        """What the list last said of an endpoint."""
-        return self._listed[endpoint]
+    def get(self, endpoint: int) -> Member | None:
+        """What the list last said of an endpoint that is not gone."""
+        return self._members.get(endpoint)
 
     def read(self, told: Any) -> Update:
         """An answer in discovery's form; a line of it that cannot be read is left out."""
@@ -64,30 +76,39 @@
             version, complete, items = int(told["revision"]), bool(told["complete"]), list(told["members"])
         except (KeyError, TypeError, ValueError) as err:
             raise ListError(f"the list cannot be read: {type(err).__name__}: {err}") from err
-        if complete:  # what a whole list does not name is gone
-            for number, entry in self._listed.items():
-                self._listed[number] = replace(entry, phase=Phase.GONE)
         entries = []
         for item in items:
             try:
-                entry, address = self._member(item)
+                member = self._member(item)
             except (ConfigError, KeyError, TypeError, ValueError, AttributeError) as err:
                 logger.warning("a line of the list is left out: {}: {} in {}", type(err).__name__, err, item)
                 continue
-            entries.append(entry)
-            self._listed[entry.endpoint] = entry
-            if address:
-                self._addresses[entry.endpoint] = address
+            entries.append(member.listed)
+            if member.listed.phase is Phase.GONE:
+                self._forget(member.listed.endpoint)
+            else:
+                self._numbers[member.id] = member.listed.endpoint
+                self._members[member.listed.endpoint] = member
+        self._dests |= {entry.dest for entry in entries}
+        if complete:  # what a whole list does not name is gone
+            self._dests = {entry.dest for entry in entries}
+            for endpoint in self._members.keys() - {entry.endpoint for entry in entries}:
+                self._forget(endpoint)
         return Update(version, complete, tuple(entries))
 
-    def _member(self, item: dict[str, Any]) -> tuple[Listed, Address | None]:
-        phase = _PHASES[item["phase"]]
-        address = None
-        if phase is Phase.READY:
-            address = Address.parse(item["host_port"], "host_port")
-        number = self._numbers.setdefault(str(item["id"]), len(self._numbers) + 1)
-        if phase is not Phase.READY and number in self._listed:  # what goes may be told by its id alone
-            return replace(self._listed[number], phase=phase), None
+    def _forget(self, endpoint: int) -> None:
+        if member := self._members.pop(endpoint, None):
+            del self._numbers[member.id]
+
+    def _member(self, item: dict[str, Any]) -> Member:
+        phase, name = _PHASES[item["phase"]], str(item["id"])
+        address = Address.parse(item["host_port"], "host_port") if phase is Phase.READY else None
+        number = self._numbers.get(name)
+        if phase is not Phase.READY and number is not None:  # what goes may be told by its id alone
+            known = self._members[number]
+            return replace(known, listed=replace(known.listed, phase=phase))
+        if number is None:
+            self._last = number = self._last + 1
         entry = Listed(
             endpoint=number,
             dest=int(item["cell"]),
@@ -97,7 +118,7 @@
             weight=float(item.get("size", 1.0)),
             since=to_micros(item.get("up_since_ms", 0)),
         )
-        return entry, address
+        return Member(name, entry, address)
 
 
 class Discovery:
--- a/calicohitch/net/endpoints.py
+++ b/calicohitch/net/endpoints.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import math
 from collections import deque
 from collections.abc import Callable
@@ -16,6 +17,7 @@
 
 _IDLE_SHARE = 0.9  # of the time after which endpoints close an idle connection: ours go before
 _MAX_WAIT_MS = 3_600_000.0
+_ROOM_S = 0.02  # between two looks for a descriptor
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +89,10 @@
     return value if math.isfinite(value) else None
 
 
+class NoDescriptor(Exception):
+    """There is no room for one more connection; no endpoint is to blame."""
+
+
 class Endpoints:
     """The connections to all endpoints. At most `most` are open; the longest idle one makes room."""
 
@@ -95,12 +101,13 @@
     ) -> None:
         self._clock, self._fields, self._connect_s, self._most = clock, fields, connect_ms / 1e3, most
         self._idle_ms = idle_ms * _IDLE_SHARE or math.inf
-        # By address: an endpoint that moves is not called where it was.
-        self._idle: dict[Address, deque[ClientConnection]] = {}
+        # An endpoint that moves is not called where it was, nor one that comes to its address by its calls.
+        self._idle: dict[tuple[int, Address], deque[ClientConnection]] = {}
         self._open = 0
 
     async def call(
         self,
+        endpoint: int,
         address: Address,
         call: Call,
         scope: anyio.CancelScope,
@@ -108,6 +115,7 @@
     ) -> Result:
         """One attempt. Where it did not end well the connection is closed; there is no hidden resend.
         A new connection takes its time, and what was decided before may no longer hold: `wanted` says."""
+        pool = (endpoint, address)
         connection: ClientConnection | None = None
         response: Response | None = None
         unsent = False
@@ -115,7 +123,7 @@
         timer = anyio.CancelScope(deadline=deadline)
         try:
             with scope, timer:
-                connection = self._warm(address)
+                connection = self._warm(pool)
                 if connection is None:
                     connection = await self._connect(address)
                     if not wanted():
@@ -125,46 +133,61 @@
         except OSError:
             never = connection is None or not connection.sent
             return Result(Outcome.CONNECT_FAILED if never else Outcome.RESET)
+        except NoDescriptor:
+            return Result(Outcome.MOOT)
         finally:
             if connection is not None:
-                self._give_back(address, connection, unsent or response is not None)
-        if response is None and connection is not None:
-            response = connection.head  # its body was cut short, but the answer is there
+                self._give_back(pool, connection, unsent or response is not None)
+        if response is None and connection is not None and connection.says_200:
+            response = Response(200, {})  # the rest was still to come
         if response is not None:
             return result_of(response, self._fields)
         if scope.cancelled_caught:
             return Result(Outcome.CANCELLED)
+        if connection is None and self._is_full():
+            return Result(Outcome.MOOT)
         # Guards against a machine cut off: its connections stay open and silent, and calls on them end
         # as resets, which may have run, once it is back. Where it was merely slow this costs handshakes.
-        self.close_idle(address)
+        self.close_idle(endpoint)
         sent = connection is not None and connection.sent
         return Result(Outcome.TIMEOUT if sent else Outcome.CONNECT_FAILED)
 
     async def _connect(self, address: Address) -> ClientConnection:
-        if self._open >= self._most and not self._close_longest_idle():
-            raise OSError("no descriptor is left for a connection")
+        """A new connection, once there is a descriptor for it."""
+        until = anyio.current_time() + self._connect_s
+        while self._is_full() and not self._close_longest_idle():
+            if anyio.current_time() > until:
+                raise NoDescriptor
+            await anyio.sleep(_ROOM_S)
         self._open += 1
         try:
             with anyio.fail_after(self._connect_s):
                 return await ClientConnection.open(address)
-        except BaseException:
+        except BaseException as err:
             self._open -= 1
+            if isinstance(err, OSError) and err.errno in (errno.EMFILE, errno.ENFILE):
+                self._close_longest_idle()
+                await anyio.sleep(_ROOM_S)
+                raise NoDescriptor from err
             raise
 
-    def _warm(self, address: Address) -> ClientConnection | None:
+    def _is_full(self) -> bool:
+        return self._open >= self._most
+
+    def _warm(self, pool: tuple[int, Address]) -> ClientConnection | None:
         """The idle connection that was used last, if it can still be used: the others may then grow old."""
-        pool = self._idle.get(address, deque())
-        while pool:
-            connection = pool.pop()
+        idle = self._idle.get(pool, deque())
+        while idle:
+            connection = idle.pop()
             if connection.reusable and connection.idle_since > self._clock.now() - self._idle_ms:
                 return connection
             self._close(connection)
         return None
 
-    def _give_back(self, address: Address, connection: ClientConnection, ended_well: bool) -> None:
+    def _give_back(self, pool: tuple[int, Address], connection: ClientConnection, ended_well: bool) -> None:
         if ended_well and connection.reusable:
             connection.idle_since = self._clock.now()
-            self._idle.setdefault(address, deque()).append(connection)
+            self._idle.setdefault(pool, deque()).append(connection)
         else:
             self._close(connection)
 
@@ -173,23 +196,24 @@
         self._open -= 1
 
     def _close_longest_idle(self) -> bool:
-        pools = [pool for pool in self._idle.values() if pool]
+        pools = [idle for idle in self._idle.values() if idle]
         if pools:
-            self._close(min(pools, key=lambda pool: pool[0].idle_since).popleft())
+            self._close(min(pools, key=lambda idle: idle[0].idle_since).popleft())
         return bool(pools)
 
-    def close_idle(self, address: Address) -> None:
-        for connection in self._idle.pop(address, ()):
-            self._close(connection)
+    def close_idle(self, endpoint: int) -> None:
+        for pool in [pool for pool in self._idle if pool[0] == endpoint]:
+            for connection in self._idle.pop(pool):
+                self._close(connection)
 
     def close_old(self) -> None:
         """Close what has long stood idle, before the endpoints do: a request that crosses that is lost."""
         before = self._clock.now() - self._idle_ms
-        for address, pool in list(self._idle.items()):
-            while pool and (pool[0].idle_since <= before or not pool[0].reusable):
-                self._close(pool.popleft())
-            if not pool:
-                del self._idle[address]
+        for pool, idle in list(self._idle.items()):
+            while idle and (idle[0].idle_since <= before or not idle[0].reusable):
+                self._close(idle.popleft())
+            if not idle:
+                del self._idle[pool]
 
     async def run(self) -> None:
         while True:
--- a/calicohitch/net/http.py
+++ b/calicohitch/net/http.py
@@ -5,8 +5,11 @@
 
 from __future__ import annotations
 
+import math
 import os
+import re
 import socket
+from collections import Counter
 from dataclasses import dataclass
 from http import HTTPStatus
 
@@ -17,6 +20,11 @@
 
 MAX_BODY = 64 << 10
 _READ = 64 << 10
+_MAX_INTERIM = 16  # 1xx responses in front of one that counts
+_REST_S = 0.5  # from a response's head, or from a first line that says 200, to its last byte
+_FIRST_LINE = 64  # bytes of a response that are kept for the reading of its first line
+_SAYS_200 = re.compile(rb"HTTP/1\.\d 200[ \r\n]")
+_LINGER_BYTES = 1 << 20
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -25,6 +33,10 @@
     """A body of more than 64 KiB."""
 
 
+class Ambiguous(Exception):
+    """A request that another reader may understand otherwise, and find a second request in."""
+
+
 def _family(address: Address) -> socket.AddressFamily:
     return socket.AF_INET6 if ":" in address.host else socket.AF_INET
 
@@ -118,8 +130,8 @@
     def __init__(self, link: Link, max_body: int = MAX_BODY, needs_body: bool = False) -> None:
         self._link, self._max_body, self._needs_body = link, max_body, needs_body
         self._http = h11.Connection(h11.CLIENT)
+        self._start = b""  # of the present response, after any 1xx
         self.sent = False  # whether the last byte of the present request was handed to the kernel
-        self.head: Response | None = None  # the present response as far as its headers
         self.idle_since = 0.0
 
     @classmethod
@@ -130,14 +142,21 @@
 
     @property
     def reusable(self) -> bool:
-        return self._http.our_state is h11.IDLE and self._link.is_quiet()
+        """Nothing is left of the last response: a second copy of it would answer the next request."""
+        return self._http.our_state is h11.IDLE and not self._http.trailing_data[0] and self._link.is_quiet()
+
+    @property
+    def says_200(self) -> bool:
+        """The first line of the present response reads 200, whatever becomes of the rest."""
+        return not self._needs_body and _SAYS_200.match(self._start) is not None
 
     def close(self) -> None:
         self._link.close()
 
     async def request(self, method: str, target: str, headers: Headers, body: bytes = b"") -> Response:
-        """The server's response; OSError where the connection ends before its first line is here."""
-        self.sent, self.head = False, None
+        """The server's response. OSError where there is none, or none that can be read; a 200 is believed by
+        its first line alone, unless the body is what was asked for."""
+        self.sent, self._start = False, b""
         if body or method == "POST":
             headers = [*headers, (b"Content-Length", str(len(body)).encode())]
         parts = [self._http.send(h11.Request(method=method, target=target, headers=headers))]
@@ -146,29 +165,43 @@
         parts.append(self._http.send(h11.EndOfMessage()))
         await self._link.send(b"".join(part for part in parts if part))
         self.sent = True
-        return await self._response()
-
-    async def _response(self) -> Response:
-        body = bytearray()
         try:
-            while not isinstance(event := self._http.next_event(), h11.EndOfMessage):
-                if event is h11.NEED_DATA:
-                    self._http.receive_data(await self._link.receive())
-                elif isinstance(event, h11.Response):
-                    self.head = Response(event.status_code, dict(event.headers))
-                elif isinstance(event, h11.Data):
-                    body += event.data
-                elif isinstance(event, h11.ConnectionClosed):
-                    raise ConnectionResetError("closed without a response")
-                if len(body) > self._max_body:
-                    raise ConnectionResetError("the response is too long")
-            if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
-                self._http.start_next_cycle()
+            with anyio.CancelScope() as rest:
+                response = await self._response(rest)
+            if not rest.cancelled_caught:
+                return response
+            raise ConnectionResetError("the rest of the response did not come")
         except (h11.RemoteProtocolError, OSError) as err:
-            if self.head is None or self._needs_body:
-                raise ConnectionResetError(str(err)) from err
-        assert self.head is not None
-        return Response(self.head.status, self.head.headers, bytes(body))
+            if self.says_200:
+                return Response(200, {})
+            raise ConnectionResetError(str(err)) from err
+
+    async def _response(self, rest: anyio.CancelScope) -> Response:
+        """Reads a whole response; once it has begun, `rest` bounds how long that may take."""
+        head: h11.Response | None = None
+        body, interim = bytearray(), 0
+        while not isinstance(event := self._http.next_event(), h11.EndOfMessage):
+            if event is h11.NEED_DATA:
+                if rest.deadline == math.inf and (head or self.says_200) and not self._needs_body:
+                    rest.deadline = anyio.current_time() + _REST_S
+                data = await self._link.receive()
+                self._start += data[: _FIRST_LINE - len(self._start)]
+                self._http.receive_data(data)
+            elif isinstance(event, h11.InformationalResponse):
+                interim += 1
+                self._start = self._http.trailing_data[0][:_FIRST_LINE]
+            elif isinstance(event, h11.Response):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += event.data
+            elif isinstance(event, h11.ConnectionClosed):
+                raise ConnectionResetError("closed without a response")
+            if len(body) > self._max_body or interim > _MAX_INTERIM:
+                raise ConnectionResetError("the response is too long")
+        if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
+            self._http.start_next_cycle()
+        assert head is not None
+        return Response(head.status_code, dict(head.headers), bytes(body))
 
 
 class KeptConnection:
@@ -219,6 +252,7 @@
     headers: dict[bytes, bytes]
     body: bytes
     query: str = ""
+    repeated: frozenset[bytes] = frozenset()  # headers that came twice; `headers` has the last
 
 
 class ServerConnection:
@@ -255,6 +289,9 @@
                 self._http.receive_data(await self._link.receive())
             elif isinstance(event, h11.Request):
                 head = event
+                names = [name for name, _ in event.headers]
+                if b"transfer-encoding" in names and b"content-length" in names:
+                    raise Ambiguous("both Content-Length and Transfer-Encoding")
                 if int(dict(event.headers).get(b"content-length", b"0")) > MAX_BODY:
                     raise BodyTooLarge
             elif isinstance(event, h11.Data):
@@ -264,8 +301,13 @@
             elif isinstance(event, h11.ConnectionClosed):
                 return None
         assert head is not None
+        if self._http.trailing_data[0]:
+            raise Ambiguous("more than one request at a time")
+        counts = Counter(name for name, _ in head.headers)
         path, _, query = head.target.decode("ascii", "replace").partition("?")
-        return Request(head.method.decode("ascii", "replace"), path, dict(head.headers), bytes(body), query)
+        method = head.method.decode("ascii", "replace")
+        return Request(method, path, dict(head.headers), bytes(body), query,
+            frozenset(name for name, count in counts.items() if count > 1))
 
     async def respond(
         self, status: int, headers: Headers | None = None, body: bytes = b"", close: bool = False
@@ -291,8 +333,9 @@
         """Guards a reply to a request that was not read whole: closing at once would reset the connection
         and take the reply with it."""
         self._link.end_sending()
-        while await self._link.receive():
-            pass
+        left = _LINGER_BYTES
+        while left > 0 and (data := await self._link.receive()):
+            left -= len(data)
 
     def close(self) -> None:
         self._link.close()
--- a/calicohitch/net/relay.py
+++ b/calicohitch/net/relay.py
@@ -21,7 +21,7 @@
 from ..config import Config
 from ..journal import Attempt, End, Entry, Journal, JournalFull
 from ..rules import Sender
-from .discovery import Directory, Discovery, ListError
+from .discovery import Directory, Discovery, ListError, Member
 from .endpoints import Call, Endpoints, Result
 from .notices import Notice, Notices
 from .peers import Peers
@@ -32,12 +32,16 @@
 
 
 class Refusal(Enum):
-    """Why a message was not taken on."""
+    """Why a message was not taken on, or not once more."""
 
     STARTING = "the relay is starting"
     STOPPING = "the relay is stopping"
     FULL = "no room for another message"
     LEFT = "the client has left"
+    NO_KEY = "a message of this class needs a key"
+    UNKNOWN = "no endpoint is known for the destination"
+    BEING_TAKEN = "it is being handed in on another connection"
+    TAKEN = "it is taken on already"
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,7 +94,7 @@
         self.ready = self.stopping = False
         self.max_clients = config.limits.sockets // 2
         self._directory = Directory(config.names)
-        self._discovery = Discovery(config.discovery, self._directory, self.feed)
+        self._discovery = Discovery(config.discovery, self._directory, self._listed)
         self._waits: dict[int, float] = {}  # destination, or endpoint where those are routes apart -> its end
         self._notices = Notices(config.discovery, self._closed)
         self._endpoints = Endpoints(
@@ -138,10 +142,15 @@
 
     def take(self, told: Submission) -> int | Refusal:
         """Journal a message. `accept` must follow once its client was told, or `withdraw` if it was not."""
-        if told.id in self._by_id:  # the client sent its request again; it is taken on already
-            return self._by_id[told.id]
+        if (number := self._by_id.get(told.id)) is not None:
+            # The client sent its request again, or another has its id: only the first may accept or withdraw.
+            return Refusal.TAKEN if self._open[number].accepted else Refusal.BEING_TAKEN
         if self.stopping or not self.ready:
             return Refusal.STOPPING if self.stopping else Refusal.STARTING
+        if told.key is None and self._config.settings.classes[told.class_index].effect is i.Effect.KEYED:
+            return Refusal.NO_KEY  # it could not be repeated as its class may
+        if not self._directory.knows(told.dest):
+            return Refusal.UNKNOWN
         if len(self._open) >= self._config.settings.open_cap or not self._journal.has_room(len(told.body)):
             return Refusal.FULL
         number = self._journal.next_number
@@ -202,6 +211,12 @@
     def _heard(self, peer: int, data: bytes) -> None:
         self.feed(i.PeerSaid(peer, data))
 
+    def _listed(self, told: i.ListTold) -> None:
+        self.feed(told)
+        for entry in told.entries:
+            if entry.phase is not i.Phase.READY:
+                self._endpoints.close_idle(entry.endpoint)
+
     def _do(self, action: i.Action) -> None:
         match action:
             case i.Send():
@@ -217,7 +232,7 @@
                 heapq.heappush(self._timers, (self._clock.now() + to_ms(delay), token))
                 self._timer_set.set()
             case i.CloseIdle(endpoint):
-                self._endpoints.close_idle(self._directory.address(endpoint))
+                self._endpoints.close_idle(endpoint)
             case i.Tell(peer, data) if self._peers:
                 self._peers.tell(peer, data)
             case i.Log(text):
@@ -228,7 +243,8 @@
     def _send(self, action: i.Send) -> None:
         message, now = self._open[action.message], self._clock.now()
         entry, number = message.entry, len(message.entry.attempts)
-        attempt = Attempt(now, self._directory.listed(action.endpoint).zone)
+        member = self._directory.get(action.endpoint)
+        attempt = Attempt(now, member.listed.zone if member else 0)
         entry.attempts.append(attempt)
         try:
             self._journal.attempt(entry.number, number, attempt.sent_at, attempt.zone)
@@ -238,38 +254,40 @@
             return
         message.calls[number] = anyio.CancelScope()
         assert self._tasks is not None
-        self._tasks.start_soon(self._call, message, number, action)
+        self._tasks.start_soon(self._call, message, number, action, member)
 
-    async def _call(self, message: _Open, attempt: int, action: i.Send) -> None:
-        entry, endpoint = message.entry, action.endpoint
+    async def _call(self, message: _Open, attempt: int, action: i.Send, member: Member | None) -> None:
+        entry, result = message.entry, Result(i.Outcome.MOOT)
         left = max(1.0, entry.deadline - entry.attempts[attempt].sent_at)
         call = Call(entry.id, entry.key, entry.body, min(to_ms(action.timeout) or left, left))
         try:
-            result = await self._endpoints.call(
-                self._directory.address(endpoint), call, message.calls[attempt], lambda: self._wanted(action))
+            if member and member.address:
+                result = await self._endpoints.call(action.endpoint, member.address, call,
+                    message.calls[attempt], lambda: self._wanted(action, member))
         except Exception:  # guards all other messages against a fault in the handling of one
             logger.exception("a call broke off")
             result = Result(i.Outcome.RESET)
-        self._settled(message, attempt, endpoint, result)
+        if result.wait and member:
+            now = self._clock.now()
+            self._waits = {route: until for route, until in self._waits.items() if until > now}
+            self._waits[self._route(member.listed)] = now + result.wait
+        self._settled(message, attempt, action.endpoint, result)
 
-    def _route(self, endpoint: int) -> int:
+    def _route(self, entry: i.Listed) -> int:
         """What shares a told wait with this endpoint; endpoints that are routes apart are below zero."""
-        entry = self._directory.listed(endpoint)
-        return ~endpoint if self._config.settings.kind(entry).routes_apart else entry.dest
+        return ~entry.endpoint if self._config.settings.kind(entry).routes_apart else entry.dest
 
-    def _wanted(self, action: i.Send) -> bool:
+    def _wanted(self, action: i.Send, member: Member) -> bool:
         """Whether a call may still go out, now that its connection is up. Guards three rules against slow
         connects: its endpoint may drain by now, its destination have told to wait, its key be forgotten."""
-        now = self._clock.now()
-        ready = self._directory.listed(action.endpoint).phase is i.Phase.READY
+        now, told = self._clock.now(), self._directory.get(action.endpoint)
+        ready = told is not None and told.listed.phase is i.Phase.READY and told.address == member.address
         remembered = not action.not_after or to_micros(now) < action.not_after
-        return ready and remembered and self._waits.get(self._route(action.endpoint), 0.0) <= now
+        return ready and remembered and self._waits.get(self._route(member.listed), 0.0) <= now
 
     def _settled(self, message: _Open, attempt: int, endpoint: int, result: Result) -> None:
         number, now = message.entry.number, self._clock.now()
         message.calls.pop(attempt, None)
-        if result.wait:
-            self._waits[self._route(endpoint)] = now + result.wait
         if result.ended:
             self._forget(number)
             self._closed(number)
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -92,10 +92,20 @@
         first = update.entries[0].endpoint
         moved = self.read(member("127.0.0.1:9", "s-1"), complete=False)
         self.assertEqual((moved.told().kind, moved.entries[0].endpoint), (ListKind.DELTA, first))
-        self.assertEqual(self.directory.address(first).port, 9)
-        self.assertEqual(self.directory.listed(update.entries[1].endpoint).phase, Phase.READY)
+        there = self.directory.get(first)
+        self.assertEqual(there and there.address, Address("127.0.0.1", 9))
+        self.assertIsNotNone(self.directory.get(update.entries[1].endpoint))
         self.read(member("127.0.0.1:9", "s-1"))
-        self.assertEqual(self.directory.listed(update.entries[1].endpoint).phase, Phase.GONE)
+        self.assertIsNone(self.directory.get(update.entries[1].endpoint))
+
+    def test_what_has_gone_is_forgotten(self) -> None:
+        for n in range(200):
+            self.read(member("127.0.0.1:1", f"s-{n}"), complete=False)
+            self.read({"id": f"s-{n}", "phase": "Gone"}, {"id": "unheard", "phase": "Gone"}, complete=False)
+        self.read(member("127.0.0.1:1", "s-1"))
+        self.assertEqual((len(self.directory._members), len(self.directory._numbers)), (1, 1))
+        self.assertTrue(self.directory.knows(7))
+        self.assertFalse(self.directory.knows(8))
 
     def test_what_goes_may_be_told_by_its_id_and_phase_alone(self) -> None:
         number = self.read(member("127.0.0.1:1")).entries[0].endpoint
--- a/tests/test_relay_rules.py
+++ b/tests/test_relay_rules.py
@@ -2,20 +2,24 @@
 
 from __future__ import annotations
 
+import errno
 import unittest
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from pathlib import Path
 from unittest import mock
 
 import anyio
-from world import LIMIT, Party, World, member, play, until
+from world import HERE, LIMIT, Party, World, member, play, until
 
 from calicohitch import interface as i
 from calicohitch.clock import ManualClock, to_micros
+from calicohitch.config import Address
 from calicohitch.interface import Outcome
 from calicohitch.journal import End, Entry, Journal
 from calicohitch.net.endpoints import Call, Endpoints, Result
-from calicohitch.net.http import Link, Request
+from calicohitch.net.http import Link, Request, listen
+from calicohitch.net.relay import Refusal, Submission
 
 
 def in_world(test: Callable[..., Awaitable[None]]) -> Callable[[unittest.TestCase], None]:
@@ -95,7 +99,7 @@
 
         async def call(timeout: float = 5_000, wanted: bool = True) -> Result:
             told = Call("a1", None, b"x", timeout)
-            return await endpoints.call(world.endpoint.address, told, anyio.CancelScope(), lambda: wanted)
+            return await endpoints.call(1, world.endpoint.address, told, anyio.CancelScope(), lambda: wanted)
 
         for answer, outcome, ended, wait in cases:
             with self.subTest(answer=answer):
@@ -109,7 +113,7 @@
         made = len(world.endpoint.accepted)
         await call()
         self.assertEqual(len(world.endpoint.accepted), made)  # a warm connection is used again
-        endpoints.close_idle(world.endpoint.address)
+        endpoints.close_idle(1)
 
         async def hang_once(request: Request) -> object:
             world.endpoint.handle = world._deliver
@@ -124,17 +128,96 @@
         self.assertEqual((await call(30)).outcome, Outcome.TIMEOUT)
         self.assertEqual(endpoints._open, 0)  # the idle one may be as dead as the other
         self.assertEqual((await call(wanted=False)).outcome, Outcome.MOOT)
-        endpoints.close_idle(world.endpoint.address)
+        endpoints.close_idle(1)
         world.endpoint.listener.close()
         self.assertEqual((await call()).outcome, Outcome.CONNECT_FAILED)
         self.assertEqual(endpoints._open, 0)
 
+    @in_world
+    async def test_a_spoilt_answer_is_believed_only_by_a_first_line_of_200(self, world: World) -> None:
+        ok, two = b"HTTP/1.1 200 OK\r\n", b"Content-Length: 2\r\n\r\nok"
+        endless = b"X-Pad: pppppppppppp\r\n" * 2_000
+        full = b"HTTP/1.1 429 Later\r\nWait-Ms: 90\r\n"
+        cases: list[tuple[bytes, Outcome, bool]] = [  # and whether the connection may be used again
+            (ok + two, Outcome.OK, True),
+            (b"HTTP/1.1 100 Continue\r\n\r\n" * 3 + ok + two, Outcome.OK, True),
+            (ok + b"Srv-Load: x0=?;,x1\r\n" + two, Outcome.OK, True),
+            (ok + two + ok + two, Outcome.OK, False),  # a second copy must not answer the next call
+            (ok + two + b"\x00noise", Outcome.OK, False),
+            (full + two + b"\x00noise", Outcome.FULL, False),
+            (ok + b"no colon here\r\n" + two, Outcome.OK, False),
+            (ok + b"Content-Length: -1\r\n" + two, Outcome.OK, False),
+            (ok + b"Content-Length: 3000000000\r\n\r\n" + bytes(200_000), Outcome.OK, False),
+            (ok + b"Content-Length: 9\r\n\r\nok", Outcome.OK, False),
+            (ok + endless, Outcome.OK, False),
+            (ok, Outcome.OK, False),
+            (b"HTTP/1.1 100 Continue\r\n\r\n" + ok + b"no colon here\r\n" + two, Outcome.OK, False),
+            (b"HTTP/1.1 100 Continue\r\n\r\n" * 99 + ok + two, Outcome.RESET, False),
+            (full + b"no colon here\r\n" + two, Outcome.RESET, False),
+            (full + b"Content-Length: 9\r\n\r\nok", Outcome.RESET, False),
+            (b"HTTP/1.1 410 Gone\r\nContent-Length: 9\r\n\r\nok", Outcome.RESET, False),
+            (b"HTTP/1.1 500 Error\r\n" + endless, Outcome.RESET, False),
+            (b"HTTP/1.1 2x0 OK\r\n" + two, Outcome.RESET, False),
+            (b"HTTP/1.1 OK 200\r\n" + two, Outcome.RESET, False),
+            (b"\xeb\x18\x00 200 \r\n\r\n", Outcome.RESET, False),
+        ]
+        answer = b""
+
+        async def serve() -> None:
+            while True:
+                await anyio.wait_readable(listener)
+                links.append(Link(listener.accept()[0]))
+                tasks.start_soon(answer_on, links[-1])
+
+        async def answer_on(link: Link) -> None:
+            with suppress(OSError):
+                while await link.receive():
+                    await link.send(answer)  # and the connection stays open
+
+        links: list[Link] = []
+        endpoints = Endpoints(world.clock, ("x0", "x1"), 10_000, 1_500, 8)
+        with listen(HERE) as listener, mock.patch("calicohitch.net.http._REST_S", 0.05):
+            address = Address(*listener.getsockname())
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(serve)
+                for answer, outcome, kept in cases:
+                    with self.subTest(answer=answer[:80]):
+                        call = Call("a1", None, b"x", 5_000)
+                        result = await endpoints.call(1, address, call, anyio.CancelScope(), lambda: True)
+                        self.assertEqual((result.outcome, endpoints._open), (outcome, int(kept)))
+                        endpoints.close_idle(1)
+                tasks.cancel_scope.cancel()
+            for link in links:
+                link.close()
+
+    @in_world
+    async def test_no_endpoint_is_blamed_where_no_descriptor_is_left(self, world: World) -> None:
+        call = Call("a1", None, b"x", 5_000)
+        endpoints = Endpoints(world.clock, (), 10_000, 50, 0)
+        result = await endpoints.call(1, world.endpoint.address, call, anyio.CancelScope(), lambda: True)
+        self.assertEqual(result.outcome, Outcome.MOOT)
+        endpoints = Endpoints(world.clock, (), 10_000, 50, 8)
+        with mock.patch("socket.socket", side_effect=OSError(errno.EMFILE, "too many open files")):
+            result = await endpoints.call(1, world.endpoint.address, call, anyio.CancelScope(), lambda: True)
+        self.assertEqual((result.outcome, endpoints._open), (Outcome.MOOT, 0))
+
+    @in_world
+    async def test_a_connection_to_what_has_gone_serves_nobody_else(self, world: World) -> None:
+        async with world.relay() as relay:
+            await world.hand_in("a1")
+            await until(lambda: relay.idle and relay._endpoints._open)
+            world.change(member(str(world.endpoint.address), "s-2"))
+            await until(lambda: relay._directory.get(2))
+            await world.hand_in("a2")
+            await until(lambda: len(world.endpoint.requests) == 2)
+        self.assertEqual(len(world.endpoint.accepted), 2)
+
     @in_world
     async def test_idle_connections_are_closed_before_the_endpoint_does(self, world: World) -> None:
         clock = ManualClock()
         endpoints = Endpoints(clock, (), 10_000, 1_500, 8)
         call = Call("a1", None, b"x", 5_000)
-        await endpoints.call(world.endpoint.address, call, anyio.CancelScope(), lambda: True)
+        await endpoints.call(1, world.endpoint.address, call, anyio.CancelScope(), lambda: True)
         for step, left in ((8_900, 1), (200, 0)):
             clock.advance(step)
             endpoints.close_old()
@@ -181,16 +264,18 @@
     async def test_a_call_whose_connection_comes_up_too_late_is_not_sent(self, world: World) -> None:
         async with world.relay() as relay:
             send, now = i.Send(1, 1), to_micros(world.clock.now())
-            self.assertTrue(relay._wanted(send))
-            self.assertTrue(relay._wanted(i.Send(1, 1, not_after=now + 10**8)))
-            self.assertFalse(relay._wanted(i.Send(1, 1, not_after=now - 1)))
+            there = relay._directory.get(1)
+            assert there
+            self.assertTrue(relay._wanted(send, there))
+            self.assertTrue(relay._wanted(i.Send(1, 1, not_after=now + 10**8), there))
+            self.assertFalse(relay._wanted(i.Send(1, 1, not_after=now - 1), there))
             world.answers = [(429, {"Wait-Ms": "60000"}, b"")]
             await world.hand_in()
-            await until(lambda: not relay._wanted(send))  # told to wait
+            await until(lambda: not relay._wanted(send, there))  # told to wait
             relay._waits.clear()
-            self.assertTrue(relay._wanted(send))
+            self.assertTrue(relay._wanted(send, there))
             world.change(member(str(world.endpoint.address), phase="Terminating"))
-            await until(lambda: not relay._wanted(send))
+            await until(lambda: not relay._wanted(send, there))
 
     @in_world
     async def test_a_silent_discovery_is_asked_again_and_the_list_kept(self, world: World) -> None:
@@ -231,9 +316,10 @@
     async def test_a_crowd_of_idle_clients_does_not_keep_others_out(self, world: World) -> None:
         async with world.relay() as relay:
             relay.max_clients = 3
-            idle = [await Link.connect(world.client) for _ in range(6)]
-            self.assertEqual((await world.hand_in()).status, 202)
-            await until(lambda: sum(link.has_ended() for link in idle) >= 3)
+            idle = [await Link.connect(world.client) for _ in range(60)]
+            with mock.patch("calicohitch.net.clients._ROOM_S", LIMIT):  # room is made at once
+                self.assertEqual((await world.hand_in()).status, 202)
+                await until(lambda: sum(link.has_ended() for link in idle) >= 57)
             for link in idle:
                 link.close()
 
@@ -246,7 +332,7 @@
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(moved.run)
                 world.change(member(str(moved.address)))
-                await until(lambda: relay._directory.address(1) == moved.address)
+                await until(lambda: getattr(relay._directory.get(1), 'address', None) == moved.address)
                 await world.hand_in("a2")
                 await until(lambda: moved.requests)
                 tasks.cancel_scope.cancel()
@@ -349,6 +435,79 @@
                     link.close()
                     self.assertEqual(answer[9:12], status)
 
+    @in_world
+    async def test_who_sends_no_whole_request_is_soon_answered_or_closed(self, world: World) -> None:
+        head = (b"POST /orders HTTP/1.1\r\nHost: r\r\nReq-Id: b1\r\nReq-Deadline-Ms: 5000\r\n"
+                b"Envelope: dest=7\r\n")
+        both = b"Idempotency-Key: k\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+        whole = head + b"Idempotency-Key: k\r\nContent-Length: 0\r\n\r\n"
+        cases: list[tuple[bytes, bytes]] = [  # and the status, or nothing where the connection is closed
+            (b"", b""),
+            (head, b"408"),
+            (head + b"Content-Length: 9\r\n\r\nhalf", b"408"),
+            (head + b"Content-Length: 60000000\r\n\r\n", b"413"),  # which is not waited for
+            (head + b"Content-Length: " + b"9" * 5_000 + b"\r\n\r\n", b"400"),
+            (head + both, b"400"),
+            (head + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\nab", b"400"),
+            (whole + whole, b"400"),
+            (whole.replace(b"Req-Id: b1", b"Req-Id: b1\r\nReq-Id: b2"), b"400"),
+            (whole.replace(b"b1", b"b\xff1"), b"400"),
+            (whole.replace(b"Idempotency-Key: k", b"X: k"), b"400"),
+            (whole.replace(b"dest=7", b"dest=99"), b"503"),
+        ]
+        with mock.patch("calicohitch.net.clients._REQUEST_S", 0.3):
+            async with world.relay() as relay:
+                await until(lambda: relay._directory.get(1))
+                for sent, status in cases:
+                    with self.subTest(sent=sent[-60:]):
+                        link = await Link.connect(world.client)
+                        await link.send(sent)
+                        answer = b""
+                        while data := await link.receive():  # until the relay closes
+                            answer += data
+                        link.close()
+                        self.assertEqual(answer[9:12], status)
+                self.assertEqual((len(relay._open), world.endpoint.requests), (0, []))
+
+    @in_world
+    async def test_trickled_bytes_do_not_extend_the_time_for_a_request(self, world: World) -> None:
+        with mock.patch("calicohitch.net.clients._REQUEST_S", 0.3):
+            async with world.relay():
+                link, sent = await Link.connect(world.client), 0
+                await link.send(b"POST /orders HTTP/1.1\r\nX: ")
+                with suppress(OSError):
+                    while link.is_quiet():
+                        await link.send(b"y")
+                        await anyio.sleep(0.02)
+                        sent += 1
+                link.close()
+        self.assertLess(sent, 500)  # ten seconds' worth
+
+    @in_world
+    async def test_a_connection_that_asked_once_is_not_kept_for_good(self, world: World) -> None:
+        with mock.patch("calicohitch.net.clients._IDLE_S", 0.1):
+            async with world.relay():
+                link = await Link.connect(world.client)
+                await link.send(b"GET /health/ready HTTP/1.1\r\nHost: r\r\n\r\n")
+                self.assertIn(b"200", await link.receive())
+                self.assertEqual(await link.receive(), b"")
+                link.close()
+
+    @in_world
+    async def test_only_the_taker_accepts_or_withdraws(self, world: World) -> None:
+        async with world.relay() as relay:
+            first = Submission("a1", 0, 7, 5_000, "k", b"first")
+            number = relay.take(first)
+            self.assertIsInstance(number, int)
+            other = Submission("a1", 1, 9, 100, None, b"other")
+            self.assertIs(relay.take(other), Refusal.BEING_TAKEN)
+            self.assertEqual((await world.hand_in("a1")).status, 503)  # and its end withdraws nothing
+            assert isinstance(number, int)
+            relay.accept(number, first)
+            self.assertIs(relay.take(other), Refusal.TAKEN)
+            await until(lambda: world.endpoint.requests)
+        self.assertEqual(world.endpoint.requests[0].body, b"first")
+
     @in_world
     async def test_past_the_open_cap_and_while_stopping_work_is_refused(self, world: World) -> None:
         world.members = []
