Tell one failing endpoint from an outage of its destination; ramp by the reported limit

A trace of what is held, once a second, and of every call that ended badly: a handful of calls hung on one endpoint time out together, the whole destination is called sick, and its 10 s ramp from 27% holds up to 80 messages of 20 a second back.

At fault in rules.py: _learn counted a call lost while later ones were answered against the route; _endpoint_for knew only that an endpoint failed lately, not how often; _start guessed what a warming route does from the rough list, though x1 tells it (the reports reached the decisions unused). Ruled out: the relay's view of calls out (it agrees with the sockets), CPU (0.3 at most), descriptors.

--- a/calicohitch/rules.py
+++ b/calicohitch/rules.py
@@ -40,6 +40,7 @@
 TRIAL, TRIAL_MAX = SECOND // 2, 2 * SECOND  # first, longest pause between trials of a sick route
 CUT = 0.85  # share of the accepted rate at which a refused route is paced
 GROW = 0.1  # share by which the pace grows each second without a refusal
+TIP_ROOM = 0.8  # share of what would push a warming route over that is used where its limit is told
 PACE_SPAN = 2 * SECOND  # span over which accepted calls are counted: the longest usual span of a limit
 PACE_END = 5  # seconds: without a refusal for so long, pacing ends
 ROOM = 0.9  # share of the holding room above which the least worth is given up
@@ -62,7 +63,7 @@
     return sum(recent) / len(recent) if recent else 1.0
 
 
-def smoothed(mean: float | None, took: int) -> float:  # a mean latency with one more call in it
+def smoothed(mean: float | None, took: float) -> float:  # a mean with one more call in it
     return float(took) if mean is None else mean + MEAN_GAIN * (took - mean)
 
 
@@ -120,6 +121,8 @@
         self._mean: float | None = None  # latency of served calls, over all destinations
         self._timer_at = self._slots_taken = 0
         self._ask_at, self._ask_pause = -1, ASK_AGAIN
+        names = [report.name for report in settings.reports]
+        self._x1 = names.index("x1") if "x1" in names else -1  # where reports tell the limit
 
     def handle(self, now: int, events: Sequence[Event]) -> list[Action]:
         """Take what was seen at `now`; return what to do about it."""
@@ -202,6 +205,8 @@
         dest = self._dests[endpoint.told.dest]
         if event.outcome in (Outcome.CANCELLED, Outcome.MOOT) or event.stale:
             return
+        if len(event.report) > self._x1 >= 0 and (limit := event.report[self._x1]) > 0:
+            route.limit = smoothed(route.limit or None, limit)
         if call.again and event.outcome in (Outcome.OK, Outcome.FULL):
             # Guards against limits that refused calls use up: there trying again shuts out all. Where most of
             # a kind's second tries are refused, its rests double. Harm: a full partner slows its kind.
@@ -211,7 +216,7 @@
         if event.outcome is Outcome.OK:
             route.mean, route.mean_at = smoothed(route.mean, event.took), now
             self._mean = smoothed(self._mean, event.took)
-            endpoint.mean = smoothed(endpoint.mean, event.took)
+            endpoint.mean, endpoint.fails = smoothed(endpoint.mean, event.took), 0
             dest.crowd, dest.fails = max(0, dest.crowd - 1), 0
             route.accepted.append(now)
             while route.accepted[0] <= now - PACE_SPAN:
@@ -220,6 +225,12 @@
             if route.sick:
                 route.sick, route.cold_at, route.cold_due = False, now, now
             return
+        if event.outcome is not Outcome.FULL:
+            endpoint.failed_at, endpoint.fails = now, endpoint.fails + 1
+            if event.outcome is Outcome.TIMEOUT and call.sent_at < route.heard:
+                # Guards sound endpoints against one that hangs: what was sent later is answered, so this is
+                # no outage of the route, however many calls hung. Harm: a hang is seen a little later.
+                return
         route.bad_since, route.bad_run = route.bad_since if route.bad_run else now, route.bad_run + 1
         if event.outcome is Outcome.FULL:
             self._full(call, event.wait)
@@ -238,7 +249,7 @@
         endpoint, route, now = call.endpoint, call.endpoint.route, self._now
         dest = self._dests[endpoint.told.dest]
         route.fail_share += FAIL_GAIN * (1 - route.fail_share)
-        route.failed_at = endpoint.failed_at = now
+        route.failed_at = now
         dest.fails += 1
         if not self._rare(dest):
             return
@@ -453,9 +464,14 @@
     def _endpoint_for(self, message: Message, dest: Destination) -> Endpoint | None:
         ends = [e for e in dest.ends.values() if self._open_now(e.route) and self._suits(message, e)]
         return min(ends, default=None, key=lambda e: (
-            e.failed_at > self._now - 2 * TRIAL_MAX, e is message.last, (e.calls + 1) * (e.mean or 0.0),
+            self._distrust(e), e is message.last, (e.calls + 1) * (e.mean or 0.0),
             e.told.zone != self._set.zone, e.order))
 
+    def _distrust(self, endpoint: Endpoint) -> int:
+        """Failures in a row, lately or with a trial still out: of two that fail, the one that fails less."""
+        lately = endpoint.failed_at > self._now - 2 * TRIAL_MAX
+        return endpoint.fails if lately or endpoint.calls else 0
+
     def _open_now(self, route: Route) -> bool:
         """May a call go to this route now, by waits, pace, health and ramp?"""
         now = self._now
@@ -482,7 +498,10 @@
             # Fail-back: this courier's usual calls a second, times what a warming route can do by now.
             warm = rules.cold_from + (1 - rules.cold_from) * (now - route.cold_at) / rules.ramp_time
             usual = SECOND / min(max(dest.gap(now), 1.0), self._longest_rest(dest))
-            rate = warm * max(usual, self._told_share(endpoint) * rules.tip_multiple / 2)
+            share = self._told_share(endpoint) * rules.tip_multiple / 2
+            if route.limit:  # what it takes when warm is no guess then
+                share = route.limit / self._set.couriers * rules.tip_multiple * TIP_ROOM
+            rate = warm * max(usual, share)
             route.cold_due = max(route.cold_due, now) + int(SECOND / rate)
         return call
 
--- a/calicohitch/state.py
+++ b/calicohitch/state.py
@@ -68,6 +68,7 @@
         self.rest_until = 0  # by told waits, pace and trials
         self.pace = 0.0  # calls a second at `cut_at`, the last cut; 0: none
         self.cut_at = 0
+        self.limit = 0.0  # calls a second from all couriers, by the reports; 0: not told
         self.fail_share = 0.0
         self.failed_at = 0
         self.bad_run = 0  # failed or refused calls in a row, the first at `bad_since`
@@ -90,6 +91,7 @@
     mean: float | None = None
     calls: int = 0
     failed_at: int = 0
+    fails: int = 0  # failed calls since one was accepted
 
 
 @dataclass(eq=False)
--- /dev/null
+++ b/tests/test_partial_outages.py
@@ -0,0 +1,70 @@
+"""One endpoint that hangs or fails is told from an outage of its destination."""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+
+from conftest import MS, SAFE, Courier, sends
+
+from calicohitch import interface as i
+from calicohitch.rules import SECOND
+
+
+def pair() -> Courier:
+    courier = Courier(reports=(i.Report("x0"), i.Report("x1")))
+    courier.list(i.Listed(11, 1), i.Listed(12, 1))
+    return courier
+
+
+class PartialOutages(unittest.TestCase):
+    def test_calls_lost_while_later_ones_are_answered_are_no_outage(self) -> None:
+        courier = pair()
+        courier.serve(6)
+        first = courier.next_id
+        for _ in range(8):
+            courier.arrive(SAFE)
+        hung = {m for (m, _), endpoint in courier.out.items() if endpoint == 11}
+        self.assertTrue(0 < len(hung) < 8)
+        courier.now += 100 * MS
+        for message in range(first, courier.next_id):
+            if message not in hung:
+                courier.settle(message)
+        courier.arrive(SAFE)  # goes to the other endpoint, and is answered
+        courier.wait(100 * MS, courier.outcome(courier.next_id - 1))
+        for message in sorted(hung):
+            courier.settle(message, i.Outcome.TIMEOUT)
+        route = courier.sender._dests[1].routes[-1]
+        self.assertEqual((route.sick, route.bad_run, route.fail_share < 0.6), (False, 0, True))
+
+    def test_of_two_that_failed_the_one_that_fails_less_is_called(self) -> None:
+        courier = pair()
+        courier.serve(8)
+        ends = courier.sender._dests[1].ends
+        ends[11].mean, ends[12].mean = 50.0 * MS, 400.0 * MS  # the first is the faster one by far
+        for name, fails in ((11, 3), (12, 1)):
+            ends[name].fails, ends[name].failed_at = fails, courier.now
+        self.assertEqual([endpoint for _, endpoint in sends(courier.arrive(SAFE))], [12])
+
+    def test_a_warming_route_is_sent_what_its_reported_limit_allows(self) -> None:
+        for limit, least, most in ((0.0, 0, 12), (60.0, 20, 40)):
+            with self.subTest(limit=limit):
+                courier = Courier(slots=200, open_cap=900, reports=(i.Report("x0"), i.Report("x1")))
+                courier.list(i.Listed(11, 1))
+                for _ in range(20):  # a message every second
+                    courier.arrive(SAFE)
+                    told = courier.wait(SECOND, replace(
+                        courier.outcome(courier.next_id - 1), report=(1.0, limit), took=50 * MS))
+                    self.assertEqual(sends(told), [])
+                route = courier.sender._dests[1].routes[-1]
+                route.sick, route.cold_at, route.cold_due = False, courier.now, courier.now  # just back
+                sent = 0
+                for _ in range(200):  # more than it takes
+                    sent += len(sends(courier.arrive(SAFE, left=9 * SECOND)))
+                    answered = [courier.outcome(message) for message, _ in list(courier.out)]
+                    sent += len(sends(courier.wait(10 * MS, *answered)))
+                self.assertTrue(least <= sent <= most, sent)
+
+
+if __name__ == "__main__":
+    unittest.main()
