Tell with each hand-back when the destination may be called again

Seen: rules._give_up told a time only where room was short; what is dropped late or has had its attempts was handed back with none, though the settings allow one. Now the advice is when the destination's rest, told wait or pace ends, half a second at least, and never past max_retry_after; nothing is held back. The socket test of a given-up message asks for the time and fails without it.

--- a/calicohitch/rules.py
+++ b/calicohitch/rules.py
@@ -369,10 +369,17 @@
 
     def _give_up(self, message: Message, advice: int = 0) -> None:
         """The final answer to an undelivered message, at once; where it may come again, say when."""
+        advice = advice or self._advice(self._dests[message.dest])
         self._actions.append(Refuse(message.id, advice) if refusable(message) else Fail(message.id))
         self._ended(message, False)
         self._forget(message)
 
+    def _advice(self, dest: Destination) -> int:
+        """How long a client had better stay away: until the destination opens, a trial's pause at least."""
+        opens = max(dest.rest_until, min((e.route.rest_until for e in dest.ends.values()), default=0))
+        wait = min(max(opens - self._now, TRIAL), self._set.max_retry_after)
+        return wait if self._set.retry_after else 0
+
     def _drop_late(self) -> None:
         """The design's late drop; a keyed message also ends when its key may be forgotten."""
         for dest in [self._dests[name] for name in self._touched]:
--- a/tests/test_relay_rules.py
+++ b/tests/test_relay_rules.py
@@ -52,7 +52,8 @@
             await world.hand_in(Req_Deadline_Ms="1300")
             await until(lambda: world.notices)
             await until(lambda: not left_open(world.folder))
-        self.assertEqual([(n["message"], n["outcome"]) for n in world.notices], [("a1", "handed_back")])
+        told = {"message": "a1", "outcome": "handed_back", "retry_in_ms": 500}
+        self.assertEqual(world.notices, [told])
 
     @in_world
     async def test_a_notice_is_sent_until_it_is_acknowledged(self, world: World) -> None:
