Close a connection that made room although its request came first

At fault: the return of Clients._one_request did not look at `evicted`. The new test fails without the change.

--- a/calicohitch/net/clients.py
+++ b/calicohitch/net/clients.py
@@ -187,7 +187,7 @@
                 open_still = await self._answer(seat.connection, request)
         finally:
             self.answering -= 1
-        return open_still and seat.connection.next() and not self._relay.stopping
+        return open_still and not seat.evicted and seat.connection.next() and not self._relay.stopping
 
     async def _read(self, seat: _Seat, first: bool) -> Request | None:
         """The next request; None where the client left or was silent too long, TimeoutError where one began.
--- a/tests/test_relay_rules.py
+++ b/tests/test_relay_rules.py
@@ -336,6 +336,21 @@
             for link in idle:
                 link.close()
 
+    @in_world
+    async def test_who_asks_while_making_room_is_answered_and_closed(self, world: World) -> None:
+        with mock.patch.multiple("calicohitch.net.clients", _REQUEST_S=LIMIT * 9, _IDLE_S=LIMIT * 9):
+            async with world.relay():
+                link = await Link.connect(world.client)
+                await until(lambda: world.clients._fresh)
+                (seat,) = world.clients._fresh
+                await link.send(b"GET /health/ready HTTP/1.1\r\nHost: r\r\n\r\n")
+                seat.scope = anyio.CancelScope()  # as though the request were quicker than its cancellation
+                world.clients._evict(seat)
+                self.assertIn(b"200", await link.receive())
+                await until(link.has_ended)  # it no longer counts, so it must not stay
+                self.assertEqual(world.clients._connections, 0)
+                link.close()
+
     @in_world
     async def test_an_endpoint_that_moved_is_called_where_it_is(self, world: World) -> None:
         async with world.relay() as relay:
