--- a/calicohitch/benchlink.py
+++ b/calicohitch/benchlink.py
@@ -14,7 +14,7 @@
 
 from . import interface as i
 from .rules import Sender
-from .settings import settings_from
+from .config.settings import settings_from
 
 _EVENT, _ACTION, _ENTRY = 48, 24, 22
 _OPEN, _LIST, _KILLED, _CATALOG = 16, 17, 25, 26
--- a/calicohitch/config.py
+++ b/calicohitch/config/platform.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from typing import Any
 
-from .interface import Settings
+from ..interface import Settings
 from .settings import Names, names_from, settings_from
 
 
--- a/calicohitch/settings.py
+++ b/calicohitch/config/settings.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from . import interface as i
+from .. import interface as i
 
 
 @dataclass(frozen=True, slots=True)
--- a/calicohitch/net/discovery.py
+++ b/calicohitch/net/discovery.py
@@ -13,7 +13,7 @@
 from ..clock import to_micros
 from ..config import Address, ConfigError
 from ..interface import Listed, ListKind, ListTold, Phase
-from ..settings import Names
+from ..config.settings import Names
 from .http import KeptConnection
 
 # News that a lost watch held back counts as told two seconds after the watch's end: short watches find a
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -20,7 +20,7 @@
 from calicohitch.net.http import Request
 from calicohitch.net.notices import Notice
 from calicohitch.net.peers import Peers
-from calicohitch.settings import Names
+from calicohitch.config.settings import Names
 
 GOOD: dict[str, Any] = {
     "name": "n0", "listen": "127.0.0.1:8080", "discovery": "127.0.0.1:8500", "state": "/run/state",
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -13,7 +13,7 @@
 
 from calicohitch import interface as i
 from calicohitch.benchlink import Link, WireError, _Reply, frames
-from calicohitch.settings import settings_from
+from calicohitch.config.settings import settings_from
 
 INFO: dict[str, Any] = {
     "services": [{"x": 1, "effect": "safe", "on_time": 2_000_000, "hard_limit": 9_000_000, "importance": 2}],
