Trace messages across hops: facts, spans, sampling by outcome, three ways out

Operators are asked why one scoreboard was late and could not answer. The relay now notes cheap facts of each message's life and makes spans only of those that are kept: all late, refused, failed, repeated and recovered ones, and a share of the ordinary, within a budget that causes and destinations share fairly.

Groundwork: the operators' file in KDL, checked whole; the command line on click, sub-commands imported when called; the platform's JSON checked with places; the log as JSON lines; make demo.

Off unless the operators' file switches it on.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PYTHON ?= python3
 
-.PHONY: build test lint run example
+.PHONY: build demo test lint run example
 
 build: .venv/installed-dev.txt
 
@@ -10,9 +10,13 @@
 	touch $@
 
 lint: build
-	.venv/bin/ruff check calicohitch tests example
+	.venv/bin/ruff check calicohitch tests example benchmarks
 	.venv/bin/mypy
 
+# Starts a toy platform and a relay, hands in a few messages, shows the worst one's story, and ends.
+demo: build
+	.venv/bin/python example/demo.py
+
 test: build
 	.venv/bin/python -m pytest
 
--- /dev/null
+++ b/calicohitch/commands/check_config.py
@@ -0,0 +1,20 @@
+"""`calicohitch check-config`."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import click
+
+from .options import loaded, operator_option
+
+
+@click.command("check-config", help="Read the configuration, say what is wrong with it, and end.")
+@operator_option
+def command(operator_path: Path | None) -> None:
+    config, operator = loaded(operator_path)
+    classes = ", ".join(config.names.classes)
+    print(f"{config.name}: listens at {config.listen}, asks {config.discovery}, classes {classes}")
+    if operator_path:
+        on = "tracing" if operator.tracing else "nothing further"
+        print(f"{operator_path}: {on} is switched on, logs are {operator.logs.format}")
--- /dev/null
+++ b/calicohitch/config/operator.py
@@ -0,0 +1,116 @@
+"""The operators' file: what a relay does beside what the platform tells it. KDL, checked whole before the start.
+
+What it does not name stays off, and is not imported.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from .platform import Address, ConfigError
+
+if TYPE_CHECKING:
+    from ..tracing.settings import TracingSettings
+    from . import kdl
+
+
+@dataclass(frozen=True, slots=True)
+class LogSettings:
+    """`format` is text or json; an empty `level` leaves it to NODE_LOG_LEVEL."""
+
+    format: str = "text"
+    level: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Operator:
+    """The checked operators' file; the default is what holds without one."""
+
+    logs: LogSettings = LogSettings()
+    tracing: TracingSettings | None = None
+
+
+LEVELS = ("TRACE", "DEBUG", "INFO", "SUCCESS", "WARNING", "ERROR", "CRITICAL")
+
+
+def load(path: Path) -> Operator:
+    """Read and check the file; ConfigError lists all that is wrong with it, a line each."""
+    from . import kdl
+
+    problems: list[str] = []
+    root = kdl.read(path, problems)
+    logs = LogSettings()
+    if node := root.child("logs"):
+        logs = LogSettings(node.text("format", "text", ("text", "json")), node.text("level", "", ("", *LEVELS)))
+        node.done()
+    node = root.child("tracing")
+    operator = Operator(logs, _tracing(node, path.parent) if node else None)
+    root.done()
+    if problems:
+        listed = "".join(f"\n  {problem}" for problem in problems)
+        raise ConfigError(f"the operators' file {path} cannot be used:{listed}")
+    return operator
+
+
+def _tracing(node: kdl.Node, folder: Path) -> TracingSettings:
+    from ..tracing.settings import Budget, CollectorSettings, FileSettings, TracingSettings
+
+    budget, usual = Budget(), Budget()
+    if sample := node.child("sample"):
+        budget = Budget(
+            spans=sample.whole("spans-per-s", usual.spans, 10, 100_000),
+            bytes=sample.whole("bytes-per-s", usual.bytes, 10_000, 100_000_000),
+            ordinary=float(sample.number("ordinary", usual.ordinary, 0, 1)),
+            asked=sample.whole("client-flag-per-s", usual.asked, 0, 10_000),
+            strata=sample.whole("strata", usual.strata, 1, 10_000),
+        )
+        sample.done()
+    collector = file = lines = None
+    if out := node.child("collector"):
+        collector_usual = CollectorSettings(Address("127.0.0.1", 4318))
+        address, at = out.parsed("url", out.argument("url"), _collector_url) or (Address("127.0.0.1", 1), "/")
+        collector = CollectorSettings(
+            address, at,
+            compression=out.text("compression", collector_usual.compression, ("gzip", "zstd", "none")),
+            timeout_ms=float(out.number("timeout-ms", collector_usual.timeout_ms, 10, 60_000)),
+            batch_bytes=out.whole("batch-bytes", collector_usual.batch_bytes, 4_096, 4 << 20),
+            queue_bytes=out.whole("queue-bytes", collector_usual.queue_bytes, 16_384, 64 << 20),
+            give_up_ms=float(out.number("give-up-ms", collector_usual.give_up_ms, 0, 3_600_000)),
+        )
+        out.done()
+    if out := node.child("file"):
+        file_usual = FileSettings(Path())
+        file = FileSettings(
+            folder / (out.argument("path") or "traces.jsonl"),
+            most_bytes=out.whole("max-bytes", file_usual.most_bytes, 16_384),
+            keep=out.whole("keep", file_usual.keep, 0, 1_000),
+            queue_bytes=out.whole("queue-bytes", file_usual.queue_bytes, 16_384, 64 << 20),
+        )
+        out.done()
+    if out := node.child("log"):
+        lines = float(out.number("lines-per-s", 5.0, 0.01, 10_000))
+        out.done()
+    if not (collector or file or lines):
+        node.complain("no way out is named: add a collector, file or log node, or leave tracing out")
+    settings = TracingSettings(node.text("service", "calicohitch"), budget, collector, file, lines)
+    node.done()
+    return settings
+
+
+def _collector_url(text: str) -> tuple[Address, str]:
+    """Address and path of an OTLP endpoint. Hosts are numeric: the relay makes no name look-ups."""
+    from urllib.parse import urlsplit
+
+    parts = urlsplit(text)
+    must = f"must be http://NUMERIC-HOST:PORT/PATH, as in http://127.0.0.1:4318/v1/traces, not {text!r}"
+    if parts.scheme != "http" or not parts.hostname or parts.query or parts.fragment:
+        raise ValueError(must)
+    try:
+        address = Address.parse(f"{parts.hostname}:{parts.port or 4318}", "its host")
+    except ValueError as err:
+        raise ValueError(must) from err
+    if parts.hostname.replace(".", "").isalpha():
+        raise ValueError(f"{must}; names are not looked up")
+    return address, parts.path or "/v1/traces"
--- a/calicohitch/config/platform.py
+++ b/calicohitch/config/platform.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from ..interface import Settings
+from .places import PlaceError
 from .settings import Names, names_from, settings_from
 
 
@@ -110,6 +111,8 @@
         raise ConfigError("settings must be an object")
     try:
         settings, names = settings_from(info), names_from(info)
+    except PlaceError as err:
+        raise ConfigError(str(err)) from err
     except (KeyError, TypeError, ValueError, AttributeError) as err:
         raise ConfigError(f"settings cannot be used: {type(err).__name__}: {err}") from err
     known, peers = told.get("known"), told.get("peers") or []
--- a/calicohitch/interface.py
+++ b/calicohitch/interface.py
@@ -36,6 +36,29 @@
         return self in (Outcome.FULL, Outcome.MOOT, Outcome.CONNECT_FAILED)
 
 
+class Hold(Enum):
+    """Why a message that is held is not out."""
+
+    SLOT = "slot"  # all of this courier's slots are taken, or a message of a higher rank goes first
+    TOLD_WAIT = "told_wait"  # the destination told to wait
+    REST = "rest"  # calls there are rare, and failed or were refused
+    PACE = "pace"  # calls are spaced below the destination's limit
+    TRIAL = "trial"  # the route is sick: only spaced trials go there
+    SILENT = "silent"  # nothing is answered there
+    RAMP = "ramp"  # the destination is cold
+    ORDER = "order"  # another message of its key goes first, or the key rests
+    RISK = "risk"  # no open endpoint suits a repeat, or a message that a failure would end
+    NO_ENDPOINT = "no_endpoint"
+
+
+@dataclass(frozen=True, slots=True)
+class Held:
+    """The answer to why a message is held; `until` is when that can end, 0 where only an event tells."""
+
+    why: Hold
+    until: int = 0
+
+
 class Phase(Enum):
     """What the list says of an endpoint; nothing of its health."""
 
--- a/calicohitch/journal.py
+++ b/calicohitch/journal.py
@@ -38,6 +38,7 @@
     OUTCOME = 3
     END = 4
     CLOSED = 5
+    TRACE = 6  # opaque to the journal; a reader that does not know it skips it
 
 
 @dataclass(slots=True)
@@ -47,6 +48,7 @@
     sent_at: float
     zone: int
     may_have_run: bool = True
+    settled: bool = False  # its outcome is known
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,6 +72,7 @@
     body: bytes
     attempts: list[Attempt] = field(default_factory=list)
     end: End | None = None
+    trace: bytes = b""
 
 
 @dataclass(slots=True)
@@ -115,7 +118,8 @@
     def taken(self, entry: Entry) -> None:
         text = json.dumps([entry.id, entry.class_name, entry.dest, entry.key]).encode()
         data = _TAKEN.pack(entry.deadline, len(text)) + text + entry.body
-        segment = self._append(_Kind.TAKEN, entry.number, data)
+        trace = self._record(_Kind.TRACE, entry.number, entry.trace) if entry.trace else b""
+        segment = self._append(_Kind.TAKEN, entry.number, data, trace)
         self._home[entry.number] = segment
         segment.open += 1
         self.next_number = max(self.next_number, entry.number + 1)
@@ -140,9 +144,14 @@
         self._home.pop(number).open -= 1
         self.entries.pop(number, None)
 
-    def _append(self, kind: _Kind, number: int, data: bytes) -> _Segment:
+    @staticmethod
+    def _record(kind: _Kind, number: int, data: bytes) -> bytes:
         payload = _HEAD.pack(kind, number) + data
-        record = _FRAME.pack(len(payload), zlib.crc32(payload)) + payload
+        return _FRAME.pack(len(payload), zlib.crc32(payload)) + payload
+
+    def _append(self, kind: _Kind, number: int, data: bytes, behind: bytes = b"") -> _Segment:
+        """Write a record, and what goes with it in the same write; all of it or nothing."""
+        record = self._record(kind, number, data) + behind
         try:
             if self._fd < 0 or 0 < self._segments[-1].size > self._roll_at - len(record):
                 self._roll()
@@ -201,14 +210,17 @@
         elif kind == _Kind.ATTEMPT:
             attempt, sent_at, zone = _ATTEMPT.unpack(rest)
             while len(entry.attempts) < attempt:  # one that could not be written was not made
-                entry.attempts.append(Attempt(sent_at, zone, may_have_run=False))
+                entry.attempts.append(Attempt(sent_at, zone, may_have_run=False, settled=True))
             entry.attempts.append(Attempt(sent_at, zone))
         elif kind == _Kind.OUTCOME:
             attempt, may_have_run = _OUTCOME.unpack(rest)
             if attempt < len(entry.attempts):
                 entry.attempts[attempt].may_have_run = bool(may_have_run)
+                entry.attempts[attempt].settled = True
         elif kind == _Kind.END:
             handed_back, retry_in = _END.unpack(rest)
             entry.end = End(bool(handed_back), retry_in)
+        elif kind == _Kind.TRACE:
+            entry.trace = rest
         elif kind == _Kind.CLOSED:
             self._forget(number)
--- a/calicohitch/net/clients.py
+++ b/calicohitch/net/clients.py
@@ -56,6 +56,7 @@
         body=request.body,
         handed_in_again=again in (b"1", b"again"),
         from_dead_relay=again == b"again",
+        headers=request.raw,
     )
 
 
--- a/calicohitch/net/endpoints.py
+++ b/calicohitch/net/endpoints.py
@@ -5,8 +5,9 @@
 import errno
 import math
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 import anyio
 
@@ -15,6 +16,9 @@
 from ..interface import Outcome
 from .http import ClientConnection, Headers, Response
 
+if TYPE_CHECKING:
+    from ..tracing.facts import Marks
+
 _IDLE_SHARE = 0.9  # of the time after which endpoints close an idle connection: ours go before
 _MAX_WAIT_MS = 3_600_000.0
 _ROOM_S = 0.02  # between two looks for a descriptor
@@ -28,6 +32,8 @@
     key: str | None
     body: bytes
     timeout: float
+    more: Sequence[tuple[bytes, bytes]] = ()  # headers that go with it
+    marks: Marks | None = None  # where its progress is noted, for those who follow it
 
     def headers(self, address: Address) -> Headers:
         named = [
@@ -37,7 +43,13 @@
         ]
         if self.key is not None:
             named.append((b"Idempotency-Key", self.key))
-        return [(name, value.encode("latin-1")) for name, value in named]
+        return [*((name, value.encode("latin-1")) for name, value in named), *self.more]
+
+    def mark(self, connection: ClientConnection, warm: bool, clock: Clock) -> None:
+        """Note that a connection is there, and have it note what follows."""
+        if marks := self.marks:
+            marks.warm, marks.connected_at = warm, clock.now()
+            connection.progress = lambda answered: marks.note(answered, clock.now())
 
 
 @dataclass(frozen=True, slots=True)
@@ -132,6 +144,8 @@
                     if not wanted():
                         unsent = True
                         return Result(Outcome.MOOT)
+                if call.marks:
+                    call.mark(connection, stale, self._clock)
                 response = await connection.request("POST", "/v1/messages", call.headers(address), call.body)
         except OSError:
             never = connection is None or not connection.sent
@@ -143,10 +157,13 @@
             return Result(Outcome.MOOT)
         finally:
             if connection is not None:
+                connection.progress = None
                 self._give_back(pool, connection, unsent or response is not None)
         if response is None and connection is not None and connection.says_200:
             response = Response(200, {})  # the rest was still to come
         if response is not None:
+            if call.marks:
+                call.marks.status = response.status
             return result_of(response, self._fields)
         if scope.cancelled_caught:
             return Result(Outcome.CANCELLED)
--- a/calicohitch/net/http.py
+++ b/calicohitch/net/http.py
@@ -10,6 +10,7 @@
 import re
 import socket
 from collections import Counter
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from http import HTTPStatus
 
@@ -133,6 +134,7 @@
         self._start = b""  # of the present response, after any 1xx
         self.sent = False  # whether the last byte of the present request was handed to the kernel
         self.idle_since = 0.0
+        self.progress: Callable[[bool], None] | None = None  # told when all is sent, and when an answer begins
 
     @classmethod
     async def open(
@@ -170,6 +172,8 @@
         parts.append(self._http.send(h11.EndOfMessage()))
         await self._link.send(b"".join(part for part in parts if part))
         self.sent = True
+        if self.progress:
+            self.progress(False)
         try:
             with anyio.CancelScope() as rest:
                 response = await self._response(rest)
@@ -190,6 +194,8 @@
                 if rest.deadline == math.inf and (head or self.says_200) and not self._needs_body:
                     rest.deadline = anyio.current_time() + _REST_S
                 data = await self._link.receive()
+                if self.progress:
+                    self.progress(True)
                 self._start += data[: _FIRST_LINE - len(self._start)]
                 self._http.receive_data(data)
             elif isinstance(event, h11.InformationalResponse):
@@ -258,6 +264,7 @@
     body: bytes
     query: str = ""
     repeated: frozenset[bytes] = frozenset()  # headers that came twice; `headers` has the last
+    raw: Iterable[tuple[bytes, bytes]] = ()  # all headers, as they came
 
 
 class ServerConnection:
@@ -312,7 +319,7 @@
         path, _, query = head.target.decode("ascii", "replace").partition("?")
         method = head.method.decode("ascii", "replace")
         return Request(method, path, dict(head.headers), bytes(body), query,
-            frozenset(name for name, count in counts.items() if count > 1))
+            frozenset(name for name, count in counts.items() if count > 1), head.headers)
 
     async def respond(
         self, status: int, headers: Headers | None = None, body: bytes = b"", close: bool = False
--- a/calicohitch/net/relay.py
+++ b/calicohitch/net/relay.py
@@ -8,9 +8,10 @@
 import heapq
 import math
 from collections import deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from dataclasses import dataclass, field, replace
 from enum import Enum
+from typing import TYPE_CHECKING
 
 import anyio
 from anyio.abc import TaskGroup
@@ -26,6 +27,10 @@
 from .notices import Notice, Notices
 from .peers import Peers
 
+if TYPE_CHECKING:
+    from ..tracing.facts import Marks
+    from ..tracing.tracer import Tracer
+
 _LIST_S = 0.3
 _OVERDUE_MS = 100.0
 _SPARE_SOCKETS = 24  # the listener, discovery, notices, notes, the journal, and what the interpreter holds
@@ -56,6 +61,7 @@
     body: bytes
     handed_in_again: bool = False
     from_dead_relay: bool = False
+    headers: Iterable[tuple[bytes, bytes]] = ()  # as they came, for those who follow a message's path
 
 
 @dataclass(slots=True, eq=False)
@@ -78,12 +84,18 @@
 
 
 class Relay:
-    """Decisions on sockets. `run` serves until it is cancelled; `take` hands a message in."""
+    """Decisions on sockets. `run` serves until it is cancelled; `take` hands a message in. `tracer`, if there
+    is one, is told what happens and changes nothing."""
 
-    def __init__(self, config: Config, clock: Clock, journal: Journal) -> None:
+    def __init__(
+        self, config: Config, clock: Clock, journal: Journal, tracer: Tracer | None = None
+    ) -> None:
         self._config, self._clock, self._journal = config, clock, journal
         settings = config.settings
         self._sender = Sender(settings, config.seed)
+        self._tracer = tracer
+        if tracer:
+            tracer.why = self._sender.why_held
         self._open: dict[int, _Open] = {}
         self._by_id: dict[str, int] = {}
         self._events: deque[i.Event] = deque()
@@ -118,6 +130,8 @@
             tasks.start_soon(_kept_up, self._endpoints.run)
             if self._peers:
                 tasks.start_soon(_kept_up, self._peers.run)
+            if self._tracer:
+                tasks.start_soon(_kept_up, self._tracer.run)
             self._read_known()
             tasks.start_soon(_kept_up, self._discovery.run)
             # The list in the configuration may be old, and an endpoint on it drain by now: nothing is sent
@@ -142,6 +156,13 @@
 
     def take(self, told: Submission) -> int | Refusal:
         """Journal a message. `accept` must follow once its client was told, or `withdraw` if it was not."""
+        taken = self._take(told)
+        if self._tracer and isinstance(taken, Refusal) and taken not in (Refusal.TAKEN, Refusal.BEING_TAKEN):
+            self._tracer.turned_away(told.id, told.class_index, told.dest, told.headers, told.key, taken.value,
+                told.handed_in_again)
+        return taken
+
+    def _take(self, told: Submission) -> int | Refusal:
         if (number := self._by_id.get(told.id)) is not None:
             # The client sent its request again, or another has its id: only the first may accept or withdraw.
             return Refusal.TAKEN if self._open[number].accepted else Refusal.BEING_TAKEN
@@ -155,14 +176,21 @@
             return Refusal.FULL
         number = self._journal.next_number
         longest = to_ms(self._config.settings.classes[told.class_index].deadline)
-        deadline = self._clock.now() + min(max(told.time_left, 0.0), longest)
+        now = self._clock.now()
+        deadline = now + min(max(told.time_left, 0.0), longest)
         class_name = self._config.names.classes[told.class_index]
         entry = Entry(number, told.id, class_name, told.dest, deadline, told.key, told.body)
+        if self._tracer:
+            entry.trace = self._tracer.taking(entry, told.headers, now, told.handed_in_again)
         try:
             self._journal.taken(entry)
         except JournalFull as err:
             logger.error("journal: {}", err)
+            if self._tracer:
+                self._tracer.withdrawn(number)
             return Refusal.FULL
+        if self._tracer:
+            self._tracer.taken(number)
         self._open[number] = _Open(entry)
         self._by_id[told.id] = number
         return number
@@ -172,6 +200,8 @@
         message = self._open.get(number)
         if message and not message.accepted:
             message.accepted = True
+            if self._tracer:
+                self._tracer.accepted(number)
             left = to_micros(message.entry.deadline - self._clock.now())
             self.feed(i.Arrived(number, told.class_index, told.dest, max(0, left),
                 handed_in_again=told.handed_in_again, from_dead_courier=told.from_dead_relay))
@@ -181,6 +211,8 @@
         message = self._open.get(number)
         if message and not message.accepted:
             self._forget(number)
+            if self._tracer:
+                self._tracer.withdrawn(number)
             self._closed(number)
 
     def feed(self, *events: i.Event) -> None:
@@ -198,6 +230,8 @@
                         self._do(action)
                     except Exception:  # guards the actions behind it
                         logger.exception("{} was not carried out", action)
+            if self._tracer:
+                self._tracer.look()
         finally:
             self._feeding = False
 
@@ -212,6 +246,8 @@
         self.feed(i.PeerSaid(peer, data))
 
     def _listed(self, told: i.ListTold) -> None:
+        if self._tracer:
+            self._tracer.listed()
         self.feed(told)
         for entry in told.entries:
             if entry.phase is not i.Phase.READY:
@@ -246,6 +282,8 @@
         member = self._directory.get(action.endpoint)
         attempt = Attempt(now, member.listed.zone if member else 0)
         entry.attempts.append(attempt)
+        more, marks = (self._tracer.sending(entry.number, number, member, attempt.zone, now)
+                       if self._tracer else ((), None))
         try:
             self._journal.attempt(entry.number, number, attempt.sent_at, attempt.zone)
         except JournalFull as err:
@@ -254,12 +292,13 @@
             return
         message.calls[number] = anyio.CancelScope()
         assert self._tasks is not None
-        self._tasks.start_soon(self._call, message, number, action, member)
+        self._tasks.start_soon(self._call, message, number, action, member, more, marks)
 
-    async def _call(self, message: _Open, attempt: int, action: i.Send, member: Member | None) -> None:
+    async def _call(self, message: _Open, attempt: int, action: i.Send, member: Member | None,
+                    more: Sequence[tuple[bytes, bytes]], marks: Marks | None) -> None:
         entry, result = message.entry, Result(i.Outcome.MOOT)
         left = max(1.0, entry.deadline - entry.attempts[attempt].sent_at)
-        call = Call(entry.id, entry.key, entry.body, min(to_ms(action.timeout) or left, left))
+        call = Call(entry.id, entry.key, entry.body, min(to_ms(action.timeout) or left, left), more, marks)
         try:
             if member and member.address:
                 result = await self._endpoints.call(action.endpoint, member.address, call,
@@ -288,6 +327,8 @@
     def _settled(self, message: _Open, attempt: int, endpoint: int, result: Result) -> None:
         number, now = message.entry.number, self._clock.now()
         message.calls.pop(attempt, None)
+        if self._tracer:
+            self._tracer.settled(number, attempt, result.outcome, result.wait, result.ended)
         if result.ended:
             self._forget(number)
             self._closed(number)
@@ -303,6 +344,8 @@
     def _end(self, number: int, end: End) -> None:
         if (message := self._forget(number)) is None:
             return
+        if self._tracer:
+            self._tracer.ended(number, end.handed_back, end.retry_in)
         try:
             self._journal.end(number, end)
         except JournalFull as err:  # after a restart the decisions come to an end of their own
@@ -314,6 +357,8 @@
             self._journal.closed(number)
         except JournalFull as err:  # after a restart the message is taken up again, which does no harm
             logger.error("journal: {}", err)
+        if self._tracer:
+            self._tracer.closed(number)
 
     def _forget(self, number: int) -> _Open | None:
         message = self._open.pop(number, None)
@@ -332,6 +377,8 @@
         """Tell the decisions what an earlier life left open, and send the notices that it still owes."""
         now, arrived = self._clock.now(), []
         for entry in list(self._journal.entries.values()):
+            if self._tracer:
+                self._tracer.recovered(entry)
             if entry.end:
                 self._notices.add(Notice(entry.number, entry.id, entry.end))
             elif entry.class_name not in self._config.names.classes:
--- a/calicohitch/rules.py
+++ b/calicohitch/rules.py
@@ -15,8 +15,8 @@
 from itertools import chain, islice
 from typing import Any
 
-from .interface import (Action, Arrived, Cancel, CloseIdle, Effect, Event, Fail, ListKind, ListTold,
-    MessageClass, Outcome, Phase, Refuse, Send, Settings, Settled, SetTimer, Watch, Withdrawn)
+from .interface import (Action, Arrived, Cancel, CloseIdle, Effect, Event, Fail, Held, Hold, ListKind,
+    ListTold, MessageClass, Outcome, Phase, Refuse, Send, Settings, Settled, SetTimer, Watch, Withdrawn)
 from .state import SHARED, Call, Destination, Endpoint, Message, Route
 
 SECOND = 1_000_000  # microseconds
@@ -174,7 +174,7 @@
         if message is None or (call := message.calls.pop(event.attempt, None)) is None:
             return
         route, self._touched[message.dest] = call.endpoint.route, None
-        route.rest(self._now + event.wait)  # each rider may tell its own
+        route.rest(self._now + event.wait, Hold.TOLD_WAIT)  # each rider may tell its own
         call.left -= 1
         if call.left == 0:
             self._slots_taken -= 1
@@ -240,7 +240,8 @@
         if route.sick or route.bad_run >= 3 and (route.fail_share > FAILING or shut) or event.wait > SHUT:
             # Guards against an outage: only spaced trials go to a sick route, and its return is ramped up.
             route.sick, pause = True, min(TRIAL << max(0, min(route.bad_run - 3, 7)), TRIAL_MAX)
-            route.rest(now + (event.wait + max(pause, self._spread(dest)) if event.wait else pause))
+            pause = event.wait + max(pause, self._spread(dest)) if event.wait else pause
+            route.rest(now + pause, Hold.TOLD_WAIT if event.wait else Hold.TRIAL)
         for message in dest.held.values():
             self._hold(message)  # its rank for room has changed
 
@@ -303,7 +304,7 @@
         Couriers told the same end of an outage come back spread over the ramp."""
         route, dest, now = call.endpoint.route, self._dests[call.endpoint.told.dest], self._now
         if wait > SHUT:
-            dest.rest(now + wait + self._spread(dest))
+            dest.rest(now + wait + self._spread(dest), Hold.TOLD_WAIT)
         elif self._rare(dest):
             dest.crowd += 1
             first = TRIAL * 2 ** self._choked.get(call.endpoint.told.kind, 0)
@@ -315,7 +316,7 @@
                 route.pace = max(CUT * min(pace(route, now) or took, took), share / 2)
                 route.cut_at = now
             pause = min(int(SECOND / (route.pace or 1.0)) << min(route.bad_run - 1, 3), TRIAL_MAX)
-            route.rest(now + (wait or pause))
+            route.rest(now + (wait or pause), Hold.PACE)
 
     def _told_share(self, endpoint: Endpoint) -> float:
         return endpoint.told.weight / self._set.couriers if self._set.weights != "none" else 0.0
@@ -453,7 +454,7 @@
         self._ready = dict.fromkeys(fronts)
 
     def _any_open(self, dest: Destination) -> bool:
-        return any(self._open_now(endpoint.route) for endpoint in dest.ends.values())
+        return any(not self._shut(endpoint.route) for endpoint in dest.ends.values())
 
     def _in_turn(self, message: Message) -> bool:
         lane, key = self._lanes.get(message.told.key), message.told.key
@@ -469,7 +470,7 @@
         return cls.effect is not Effect.UNSAFE or not message.rank[0] or risk <= RISKY
 
     def _endpoint_for(self, message: Message, dest: Destination) -> Endpoint | None:
-        ends = [e for e in dest.ends.values() if self._open_now(e.route) and self._suits(message, e)]
+        ends = [e for e in dest.ends.values() if not self._shut(e.route) and self._suits(message, e)]
         return min(ends, default=None, key=lambda e: (
             self._distrust(e), e is message.last, (e.calls + 1) * (e.mean or 0.0),
             e.told.zone != self._set.zone, e.order))
@@ -479,16 +480,41 @@
         lately = endpoint.failed_at > self._now - 2 * TRIAL_MAX
         return endpoint.fails if lately or endpoint.calls else 0
 
-    def _open_now(self, route: Route) -> bool:
-        """May a call go to this route now, by waits, pace, health and ramp?"""
+    def why_held(self, number: int) -> Held | None:
+        """Why a message is held, for those who watch; None where it is not held. Asking changes nothing."""
+        message, now = self._open.get(number), self._now
+        dest = self._dests.get(message.dest) if message else None
+        if message is None or dest is None or number not in dest.held:
+            return None
+        if dest.rest_until > now:
+            return Held(dest.rest_why, dest.rest_until)
+        shut = [(self._opens(e.route, why), why) for e in dest.ends.values() if (why := self._shut(e.route))]
+        if len(shut) == len(dest.ends):
+            until, why = min(shut, key=lambda at: at[0] or math.inf, default=(0, Hold.NO_ENDPOINT))
+            return Held(why, until)
+        if not self._in_turn(message):
+            return Held(Hold.ORDER, self._key_rest.get(message.told.key, 0))
+        suited = any(self._suits(message, e) and not self._shut(e.route) for e in dest.ends.values())
+        return Held(Hold.SLOT if suited else Hold.RISK)
+
+    def _opens(self, route: Route, why: Hold) -> int:
+        last = route.calls[-1].sent_at if route.calls else 0
+        at = {Hold.RAMP: route.cold_due, Hold.SILENT: last + TRIAL}.get(why, route.rest_until)
+        return at if at > self._now else 0
+
+    def _shut(self, route: Route) -> Hold | None:
+        """What keeps calls from this route now, of waits, pace, health and ramp; None where they may go."""
         now = self._now
-        if route.rest_until > now or route.sick and route.calls:
-            return False
+        if route.rest_until > now:
+            return route.rest_why
+        if route.sick and route.calls:
+            return Hold.TRIAL
         # Guards the slots against a silent route: few calls are out there, TRIAL apart; an answer ends that.
         most = max(2, self._set.slots // 3)
         if silent(route, now) and (len(route.calls) >= most or now < route.calls[-1].sent_at + TRIAL):
-            return False
-        return route.cold_due <= now or now >= route.cold_at + self._set.rules.ramp_time
+            return Hold.SILENT
+        warm = route.cold_due <= now or now >= route.cold_at + self._set.rules.ramp_time
+        return None if warm else Hold.RAMP
 
     def _start(self, endpoint: Endpoint) -> Call:
         route, dest, now = endpoint.route, self._dests[endpoint.told.dest], self._now
@@ -499,7 +525,7 @@
         self._slots_taken += 1
         if paced := pace(route, now):
             gap = int(SECOND / paced)
-            route.rest_until = max(route.rest_until, now - gap) + gap
+            route.rest(max(route.rest_until, now - gap) + gap, Hold.PACE)
         rules = self._set.rules
         if 0 <= route.cold_at and now < route.cold_at + rules.ramp_time:
             # Fail-back: this courier's usual calls a second, times what a warming route can do by now.
--- a/calicohitch/service.py
+++ b/calicohitch/service.py
@@ -4,44 +4,68 @@
 
 import signal
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 import anyio
 from loguru import logger
 
 from .clock import Clock
 from .config import Config
+from .config.operator import Operator
 from .journal import Journal
 from .net.clients import Clients
 from .net.http import listen
 from .net.relay import Relay
 
+if TYPE_CHECKING:
+    from .tracing.tracer import Tracer
+
 _MB = 1_000_000  # the platform counts disk in these
 _SETTLE_S = 0.5  # clients keep coming for a moment after SIGTERM, and are told to go elsewhere
 
 
 async def serve(
-    config: Config, reload: Callable[[], Config] | None = None, clock: Clock | None = None
+    config: Config,
+    reload: Callable[[], Config] | None = None,
+    clock: Clock | None = None,
+    operator: Operator | None = None,
 ) -> None:
     """Serve until SIGTERM or SIGINT, then go on with what is open until that is over too. On SIGHUP `reload`
-    is asked for the configuration as it is then."""
-    relay = Relay(config, clock or Clock(), Journal(config.state, config.limits.disk_mb * _MB))
+    is asked for the configuration as it is then. What `operator` does not name stays off."""
+    clock, operator = clock or Clock(), operator or Operator()
+    journal = Journal(config.state, config.limits.disk_mb * _MB)
+    tracer = _tracer(config, clock, operator)
+    relay = Relay(config, clock, journal, tracer)
     with listen(config.listen) as listener:
-        logger.info("{} listens at {}", config.name, config.listen)
+        logger.bind(event="relay.listening").info("{} listens at {}", config.name, config.listen)
         clients = Clients(relay, config.names.classes, listener)
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(relay.run)
                 tasks.start_soon(clients.run)
                 await _stopped(relay, reload)
-                logger.info("stopping: new messages are refused, open ones go on")
+                logger.bind(event="relay.stopping").info("stopping: new messages are refused, open ones go on")
                 relay.stopping = True
                 await anyio.sleep(_SETTLE_S)
                 clients.close_waiting()
                 while clients.answering or not relay.idle:
                     await anyio.sleep(0.05)
+                if tracer:
+                    await tracer.drain()
                 tasks.cancel_scope.cancel()
         finally:
             relay.close()
+            if tracer:
+                tracer.close()
+
+
+def _tracer(config: Config, clock: Clock, operator: Operator) -> Tracer | None:
+    if operator.tracing is None:
+        return None
+    from .tracing.tracer import Tracer
+
+    return Tracer(operator.tracing, clock, config.name, config.settings.classes, config.names.classes,
+        config.state, config.seed)
 
 
 async def _stopped(relay: Relay, reload: Callable[[], Config] | None) -> None:
@@ -55,4 +79,4 @@
                 if reload:
                     relay.follow(reload())
             except Exception as err:  # whatever is wrong with the new one, the old one still serves
-                logger.error("the configuration stays as it was: {}", err)
+                logger.bind(event="config.kept").error("the configuration stays as it was: {}", err)
--- a/calicohitch/state.py
+++ b/calicohitch/state.py
@@ -10,7 +10,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from .interface import Arrived, Listed, MessageClass
+from .interface import Arrived, Hold, Listed, MessageClass
 
 SHARED = -1  # name of the one route of a destination whose endpoints are not routes apart
 
@@ -66,6 +66,7 @@
         self.calls: list[Call] = []
         self.accepted: deque[int] = deque()  # times
         self.rest_until = 0  # by told waits, pace and trials
+        self.rest_why = Hold.PACE  # which of them ends last
         self.pace = 0.0  # calls a second at `cut_at`, the last cut; 0: none
         self.cut_at = 0
         self.limit = 0.0  # calls a second from all couriers, by the reports; 0: not told
@@ -77,8 +78,9 @@
         self.cold_at = -1  # when it came back from being sick
         self.cold_due = 0  # when the ramp allows the next call
 
-    def rest(self, until: int) -> None:
-        self.rest_until = max(self.rest_until, until)
+    def rest(self, until: int, why: Hold) -> None:
+        if until > self.rest_until:
+            self.rest_until, self.rest_why = until, why
 
 
 @dataclass(eq=False)
@@ -107,6 +109,7 @@
     crowd: int = 0  # refusals, less the calls accepted since
     fails: int = 0  # failed calls since one was accepted
     rest_until: int = 0
+    rest_why: Hold = Hold.REST
     wake_at: int = 0  # when it is looked at next, if nothing happens before
 
     def hold(self, message: Message) -> None:
@@ -128,8 +131,9 @@
     def calls(self) -> int:
         return sum(endpoint.calls for endpoint in self.ends.values())
 
-    def rest(self, until: int) -> None:
-        self.rest_until = max(self.rest_until, until)
+    def rest(self, until: int, why: Hold = Hold.REST) -> None:
+        if until > self.rest_until:
+            self.rest_until, self.rest_why = until, why
 
     def forget(self, now: int) -> None:
         """Drop the routes that no endpoint is left of, once what they were told is over."""
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -36,7 +36,7 @@
         journal.closed(3)
         known = self.again()
         first = entry(1, bytes(range(256)))
-        first.attempts = [Attempt(123.25, 1, False), Attempt(456.5, 0, True)]
+        first.attempts = [Attempt(123.25, 1, False, settled=True), Attempt(456.5, 0, True)]
         second = entry(2, bytes(range(256)))
         second.end = End(True, 250.0)
         self.assertEqual(known.entries, {1: first, 2: second})
@@ -104,7 +104,8 @@
         journal.taken(entry(1))
         journal.attempt(1, 1, 5.0, 0)
         journal.outcome(1, 4, may_have_run=False)  # of an attempt that is not there either
-        self.assertEqual(self.again().entries[1].attempts, [Attempt(5.0, 0, False), Attempt(5.0, 0, True)])
+        made = [Attempt(5.0, 0, False, settled=True), Attempt(5.0, 0, True)]
+        self.assertEqual(self.again().entries[1].attempts, made)
 
 
 if __name__ == "__main__":
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -26,6 +26,7 @@
             world.client = Address(*free.getsockname())
         path = world.folder / "config.json"
         self.path, self.world = path, world
+        self.arguments: list[str] = []
         self.say({"discovery": str(world.platform.address)})
         self.env = os.environ | {
             "NODE_CONFIG": str(path), "NODE_STATE": str(world.folder / "state"),
@@ -36,7 +37,7 @@
         self.path.write_text(json.dumps({"name": "n0", "settings": SETTINGS} | changes))
 
     async def start(self) -> subprocess.Popen[bytes]:
-        command = [sys.executable, "-B", "-m", "calicohitch", "serve"]
+        command = [sys.executable, "-B", "-m", "calicohitch", "serve", *self.arguments]
         process = subprocess.Popen(command, env=self.env, cwd=ROOT, stderr=subprocess.DEVNULL)
         with anyio.fail_after(LIMIT):
             while await self.ready() != 200:
@@ -161,7 +162,8 @@
             (["version"], {}, 0, ""),
             (["check-config"], {"NODE_CONFIG": "/nowhere"}, 2, "calicohitch: the configuration /nowhere"),
             (["serve"], {"NODE_CONFIG": ""}, 2, "calicohitch: NODE_CONFIG must name"),
-            (["dance"], {}, 2, "usage:"),
+            (["dance"], {}, 2, "calicohitch: No such command 'dance'"),
+            ([], {}, 2, "check-config"),
         ]
         for arguments, env, code, text in cases:
             with self.subTest(arguments=arguments):
--- a/tests/world.py
+++ b/tests/world.py
@@ -113,9 +113,16 @@
         self.changed = anyio.Event()
 
     @asynccontextmanager
-    async def relay(self, **changes: Any) -> AsyncIterator[Relay]:
+    async def relay(self, tracing: Any = None, **changes: Any) -> AsyncIterator[Relay]:
         config = self.config(**changes)
-        relay = Relay(config, self.clock, Journal(self.folder, config.limits.disk_mb * 1e6))
+        journal = Journal(self.folder, config.limits.disk_mb * 1e6)
+        tracer = None
+        if tracing:
+            from calicohitch.tracing.tracer import Tracer
+
+            tracer = Tracer(tracing, self.clock, config.name, config.settings.classes, config.names.classes,
+                self.folder)
+        relay = Relay(config, self.clock, journal, tracer)
         with listen(HERE) as listener:
             self.client = Address(*listener.getsockname())
             async with anyio.create_task_group() as tasks:
@@ -124,8 +131,12 @@
                 tasks.start_soon(self.clients.run)
                 await until(lambda: relay.ready)
                 yield relay
+                if tracer:
+                    await tracer.drain()
                 tasks.cancel_scope.cancel()
         relay.close()
+        if tracer:
+            tracer.close()
 
     async def hand_in(self, wire_id: str = "a1", path: str = "/orders", **headers: str) -> Response:
         told = {"Host": "relay", "Req-Id": wire_id, "Req-Deadline-Ms": "5000", "Envelope": "dest=7",
