--- a/benchmarks/parties.py
+++ b/benchmarks/parties.py
@@ -30,10 +30,10 @@
 }
 
 # The platform's side runs in a process of its own, so that its CPU is not the relay's. argv: the share of calls
-# that fail at destination 8; its ports are printed. Every fortieth call to destination 7 takes 1.3 s.
+# that fail at destination 8, and whether destination 7 hangs for 1.6 of every 10 s; its ports are printed.
 PLATFORM = '''
-import asyncio, json, sys
-FAIL = float(sys.argv[1])
+import asyncio, json, sys, time
+FAIL, HANGS = float(sys.argv[1]), sys.argv[2] == "1"
 calls = {7: 0, 8: 0}
 late = 0
 async def read(reader):
@@ -54,7 +54,8 @@
                 if dest == 8 and (calls[8] * FAIL) % 1 + FAIL >= 1:
                     say(writer, 500)
                     continue
-                await asyncio.sleep(1.3 if dest == 7 and calls[7] % 40 == 0 else 0.005)
+                into = time.monotonic() % 10
+                await asyncio.sleep(1.6 - into if HANGS and dest == 7 and into < 1.6 else 0.005)
                 say(writer, 200)
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
@@ -93,8 +94,9 @@
 class Platform:
     """Discovery, and the endpoints of destinations 7 and 8."""
 
-    def __init__(self, fail: float = 0.0) -> None:
-        self.process = subprocess.Popen([sys.executable, "-c", PLATFORM, str(fail)], stdout=subprocess.PIPE, text=True)
+    def __init__(self, fail: float = 0.0, hangs: bool = False) -> None:
+        command = [sys.executable, "-c", PLATFORM, str(fail), str(int(hangs))]
+        self.process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
         assert self.process.stdout
         self.discovery, *_ = map(int, self.process.stdout.readline().split())
 
--- a/benchmarks/tracing.py
+++ b/benchmarks/tracing.py
@@ -113,7 +113,7 @@
     from calicohitch.tracing.reading import read_files
 
     for title, budget in (("budget not met", "spans-per-s=2000 bytes-per-s=2000000"), ("above it", "spans-per-s=30")):
-        platform = Platform(0.0)
+        platform = Platform(hangs=True)
         with tempfile.TemporaryDirectory() as folder:
             operator = f'tracing {{\nsample {budget}\nfile "t.jsonl" max-bytes=100000000 queue-bytes=8000000\n}}\n'
             relay = RelayProcess(platform, Path(folder), operator)
@@ -145,7 +145,7 @@
 
     def facts() -> None:
         made = Facts("a1", "scores", 7, 1.0, TraceContext(b"t" * 16, b"s" * 8))
-        made.hold(1.0, None)
+        made.hold(1.0)
         made.release(2.0)
         attempt = AttemptFacts(2.0, "s-1", "127.0.0.1:80", 0, Marks())
         made.attempts.append(attempt)
--- a/calicohitch/commands/options.py
+++ b/calicohitch/commands/options.py
@@ -23,6 +23,7 @@
 def loaded(operator_path: Path | None) -> tuple[Config, Operator]:
     """The platform's and the operators' settings, both checked; a usage error otherwise."""
     try:
-        return load(os.environ), load_operator(operator_path) if operator_path else Operator()
+        config = load(os.environ)
+        return config, load_operator(operator_path, config.names.classes) if operator_path else Operator()
     except ConfigError as err:
         raise Unusable(str(err)) from err
--- a/calicohitch/config/operator.py
+++ b/calicohitch/config/operator.py
@@ -12,6 +12,7 @@
 from .platform import Address, ConfigError
 
 if TYPE_CHECKING:
+    from ..grpc.settings import GrpcSettings
     from ..tracing.settings import TracingSettings
     from . import kdl
 
@@ -30,13 +31,15 @@
 
     logs: LogSettings = LogSettings()
     tracing: TracingSettings | None = None
+    grpc: GrpcSettings | None = None
 
 
 LEVELS = ("TRACE", "DEBUG", "INFO", "SUCCESS", "WARNING", "ERROR", "CRITICAL")
 
 
-def load(path: Path) -> Operator:
-    """Read and check the file; ConfigError lists all that is wrong with it, a line each."""
+def load(path: Path, classes: tuple[str, ...] = ()) -> Operator:
+    """Read and check the file; ConfigError lists all that is wrong with it, a line each. `classes` are the names
+    that routes may give."""
     from . import kdl
 
     problems: list[str] = []
@@ -46,7 +49,8 @@
         logs = LogSettings(node.text("format", "text", ("text", "json")), node.text("level", "", ("", *LEVELS)))
         node.done()
     node = root.child("tracing")
-    operator = Operator(logs, _tracing(node, path.parent) if node else None)
+    grpc = root.child("grpc")
+    operator = Operator(logs, _tracing(node, path.parent) if node else None, _grpc(grpc, classes) if grpc else None)
     root.done()
     if problems:
         listed = "".join(f"\n  {problem}" for problem in problems)
@@ -99,6 +103,50 @@
     return settings
 
 
+def _grpc(node: kdl.Node, classes: tuple[str, ...]) -> GrpcSettings:
+    from ..grpc.routes import Route, clashes
+    from ..grpc.settings import GrpcSettings, Speaker
+
+    listen = node.parsed("listen", node.text("listen"), lambda text: Address.parse(text, "the address"))
+    routes = []
+    for told in node.children("route"):
+        service, method = told.argument("service"), told.argument("method", "*")
+        name = told.text("class", among=classes)
+        dest, dest_key = told.whole("dest", -1, -1), told.text("dest-metadata", "")
+        if (dest < 0) == (not dest_key):
+            told.complain("it needs either dest=NUMBER or dest-metadata=KEY, and not both")
+        routes.append(Route(
+            service, method, classes.index(name) if name in classes else 0, dest if dest >= 0 else None,
+            dest_key.lower(), told.text("id-metadata", "req-id").lower(),
+            told.text("key-metadata", "idempotency-key").lower(),
+            told.text("requests", "one", ("one", "many")) == "many"))
+        told.done()
+    for twice in clashes(tuple(routes)):
+        node.complain(f"there are two routes for {twice}; only the last would count")
+    if not routes:
+        node.complain('no route is named: add one, as in route "pkg.Service" "Method" class="..." dest=7')
+    speakers = []
+    for told in node.children("endpoints"):
+        dest = told.whole("dest", -1, -1)
+        speakers.append(Speaker(told.text("id", ""), told.text("flavor", ""), dest if dest >= 0 else None,
+            told.text("also", "", ("", "http")) == "http"))
+        if not (speakers[-1].id or speakers[-1].flavor or dest >= 0):
+            told.complain("it needs an id, a flavor or a dest: without one every endpoint would be told to speak gRPC")
+        told.done()
+    if not speakers:
+        node.complain("no endpoint speaks gRPC: add one, as in endpoints flavor=\"...\"")
+    usual = GrpcSettings(Address("127.0.0.1", 0), ())
+    settings = GrpcSettings(
+        listen or usual.listen, tuple(routes), tuple(speakers),
+        keep=node.whole("keep-bytes", usual.keep, 0, 64 << 20),
+        message=node.whole("message-bytes", usual.message, 1, 64 << 20),
+        connections=node.whole("connections", usual.connections, 1, 100_000),
+        streams=node.whole("streams", usual.streams, 1, 10_000),
+        whole_ms=float(node.number("whole-ms", usual.whole_ms, 10, 600_000)))
+    node.done()
+    return settings
+
+
 def _collector_url(text: str) -> tuple[Address, str]:
     """Address and path of an OTLP endpoint. Hosts are numeric: the relay makes no name look-ups."""
     from urllib.parse import urlsplit
--- /dev/null
+++ b/calicohitch/core/seam.py
@@ -0,0 +1,123 @@
+"""The two small interfaces that every protocol stands behind.
+
+An **intake** makes a `Submission` of what it reads and calls `Relay.take`. Where its client is to be told at once that
+the message is taken on (HTTP/1.1: 202), it calls `accept` after that, and the end goes to the platform as a notice.
+Where the client's call stays open until the end (gRPC), it gives a `Reply`, and that is told the one end instead.
+
+A **delivery** makes one attempt and says how it ended: never a second one of its own, whatever its library would do.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING, Any, Protocol
+
+import anyio
+
+from ..config import Address
+from ..interface import Outcome
+
+if TYPE_CHECKING:
+    from ..tracing.facts import Marks
+
+
+class Refusal(Enum):
+    """Why a message was not taken on, or not once more."""
+
+    STARTING = "the relay is starting"
+    STOPPING = "the relay is stopping"
+    FULL = "no room for another message"
+    LEFT = "the client has left"
+    NO_KEY = "a message of this class needs a key"
+    UNKNOWN = "no endpoint is known for the destination"
+    BEING_TAKEN = "it is being handed in on another connection"
+    TAKEN = "it is taken on already"
+
+
+class How(Enum):
+    """The one end of a message whose client waits for it."""
+
+    DELIVERED = "delivered"
+    REFUSED = "refused"  # harmless to hand in again
+    FAILED = "failed"  # given up, and it may have run
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """`retry_in` in milliseconds, 0 for no advice; `answer` is the delivery's, for the intake of its protocol."""
+
+    how: How
+    retry_in: float = 0.0
+    may_have_run: bool = False
+    answer: Any = None
+
+
+class Reply(Protocol):
+    """A client's call that is open until its message's end."""
+
+    def ended(self, end: Ended) -> None:
+        """Told exactly once, unless the message was withdrawn before; must not wait."""
+
+
+@dataclass(frozen=True, slots=True)
+class Submission:
+    """A message as it is handed in, in whatever protocol. `time_left` in milliseconds. With a `reply` the message is
+    its client's open call: it outlasts this process as a memory of what was tried, not as work to be done."""
+
+    id: str
+    class_index: int
+    dest: int
+    time_left: float
+    key: str | None
+    body: bytes
+    handed_in_again: bool = False
+    from_dead_relay: bool = False
+    headers: Iterable[tuple[bytes, bytes]] = ()  # as they came, for those who follow a message's path
+    protocol: int = 0  # by the numbers of `interface.PROTOCOLS`
+    reply: Reply | None = None
+    content: Any = None  # what a delivery of the same protocol needs beside the body
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One attempt as it goes to an endpoint; `timeout` in milliseconds."""
+
+    id: str
+    key: str | None
+    body: bytes
+    timeout: float
+    more: Sequence[tuple[bytes, bytes]] = ()  # headers that go with it
+    marks: Marks | None = None  # where its progress is noted, for those who follow it
+    content: Any = None
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """How a call ended; `ended`: nothing more is owed for its message. `wait` in milliseconds. `stale`: its
+    connection was kept from an earlier call, and broke before any answer. `answer` goes to the message's `Reply`."""
+
+    outcome: Outcome
+    ended: bool = False
+    wait: float = 0.0
+    slots_taken: bool = False
+    report: tuple[float, ...] = ()
+    stale: bool = False
+    answer: Any = None
+
+
+class Delivery(Protocol):
+    """Attempts in one protocol, over connections of its own."""
+
+    async def call(
+        self, endpoint: int, address: Address, call: Call, scope: anyio.CancelScope, wanted: Callable[[], bool]
+    ) -> Result:
+        """One attempt. `wanted` is asked once a new connection is up; False ends the attempt as moot before its
+        first byte. Cancelling `scope` gives it up."""
+
+    def close_idle(self, endpoint: int) -> None:
+        """Shut the connections to an endpoint that have no call on them."""
+
+    async def run(self) -> None:
+        """What the connections need as long as the relay lives."""
--- /dev/null
+++ b/calicohitch/grpc/delivery.py
@@ -0,0 +1,245 @@
+"""Attempts over gRPC: one stream each, on shared HTTP/2 connections to the endpoints."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from contextlib import suppress
+
+import anyio
+from anyio.abc import TaskGroup
+
+from ..clock import Clock
+from ..config import Address
+from ..core.seam import Call, Result
+from ..interface import Outcome
+from ..net.http import Link
+from ..wire.http2 import Codes, Headers, Http2Connection, Http2Limits, Http2Stream, StreamReset
+from .codec import CodecError, Deframer, decode_binary, metadata, timeout
+from .codec import trailers as plain_trailers
+from .pipe import Answer, Pipe
+from .status import Status, meaning, of_http, read_pushback, read_retry_info, read_status
+
+_IDLE_MS = 60_000.0
+_LOOK_S = 0.25
+_OWN = (b"req-id", b"idempotency-key")
+
+
+class GrpcDelivery:
+    """The HTTP/2 connections to all endpoints that speak gRPC."""
+
+    def __init__(self, clock: Clock, connect_ms: float, most: int, message: int, fields: tuple[str, ...] = ()) -> None:
+        self._clock, self._connect_s, self._most, self._message = clock, connect_ms / 1e3, most, message
+        self._fields = fields
+        self._limits = Http2Limits()
+        self._pools: dict[tuple[int, Address], list[Http2Connection]] = {}
+        self._connecting: dict[tuple[int, Address], anyio.Lock] = {}
+        self._tasks: TaskGroup | None = None
+        self._started = anyio.Event()
+
+    async def run(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            self._started.set()
+            while True:
+                await anyio.sleep(_LOOK_S)
+                self._sweep()
+
+    def _sweep(self) -> None:
+        old = self._clock.now() - _IDLE_MS
+        for pool, connections in list(self._pools.items()):
+            for connection in list(connections):
+                if not connection.streams and (connection.draining or connection.idle_since < old):
+                    connection.close()
+                if connection.gone:
+                    connections.remove(connection)
+            if not connections:
+                del self._pools[pool]
+                if pool in self._connecting and not self._connecting[pool].locked():
+                    del self._connecting[pool]
+
+    def close_idle(self, endpoint: int) -> None:
+        for (name, _), connections in self._pools.items():
+            if name == endpoint:
+                for connection in connections:
+                    if not connection.streams:
+                        connection.close()
+
+    async def _connection(self, pool: tuple[int, Address]) -> tuple[Http2Connection, bool]:
+        """One that has room for a stream, and whether it was there already."""
+        async with self._connecting.setdefault(pool, anyio.Lock()):  # a burst of calls shares one new connection
+            for connection in self._pools.setdefault(pool, []):
+                if connection.can_open:
+                    return connection, True
+            return await self._connect(pool), False
+
+    async def _connect(self, pool: tuple[int, Address]) -> Http2Connection:
+        if sum(map(len, self._pools.values())) >= self._most:
+            raise _NoRoom
+        await self._started.wait()
+        assert self._tasks
+        with anyio.fail_after(self._connect_s):
+            connection = Http2Connection(await Link.connect(pool[1]), self._clock, self._limits, client=True)
+            await connection.start()
+        self._pools.setdefault(pool, []).append(connection)
+        self._tasks.start_soon(connection.run)
+        return connection
+
+    async def call(
+        self, endpoint: int, address: Address, call: Call, scope: anyio.CancelScope, wanted: Callable[[], bool]
+    ) -> Result:
+        """One attempt: what the client sends goes out as it comes, and what is answered goes back as it comes."""
+        pipe = call.content
+        assert isinstance(pipe, Pipe)
+        attempt = _Attempt(pipe, call, self._message, self._clock)
+        timer = anyio.CancelScope(deadline=anyio.current_time() + call.timeout / 1e3)
+        try:
+            with scope, timer:
+                connection, warm = await self._connection((endpoint, address))
+                if not warm and not wanted():
+                    return Result(Outcome.MOOT)
+                if call.marks:
+                    call.marks.warm, call.marks.connected_at = warm, self._clock.now()
+                return await attempt.run(connection, address, timer)
+        except _NoRoom:
+            return Result(Outcome.MOOT)
+        except OSError:
+            return attempt.ended(Result(Outcome.CONNECT_FAILED), Status.UNAVAILABLE, "no connection")
+        finally:
+            pipe.let_go()
+            if attempt.stream:
+                with anyio.CancelScope(shield=True):
+                    await attempt.stream.cancel()
+        if pipe.cancelled or scope.cancelled_caught:
+            return attempt.ended(Result(Outcome.CANCELLED), Status.CANCELLED, "given up")
+        outcome = Outcome.TIMEOUT if attempt.may_have_run else Outcome.CONNECT_FAILED
+        return attempt.ended(Result(outcome), Status.DEADLINE_EXCEEDED, "the endpoint did not answer in time")
+
+
+class _NoRoom(Exception):
+    """There is no descriptor for one more connection; no endpoint is to blame."""
+
+
+class _Attempt:
+    def __init__(self, pipe: Pipe, call: Call, message: int, clock: Clock) -> None:
+        self._pipe, self._call, self._most, self._clock = pipe, call, message, clock
+        self.stream: Http2Stream | None = None
+        self.may_have_run = False
+
+    def ended(self, result: Result, status: Status, text: str, trailers: Headers = ()) -> Result:
+        """The outcome for the decisions; where the call cannot be tried again its end is the client's as well."""
+        if self._pipe.can_repeat and not result.ended:
+            return result
+        told = metadata(trailers) or plain_trailers(status, text)
+        return Result(result.outcome, ended=True, wait=result.wait, stale=result.stale, answer=Answer(told))
+
+    async def run(self, connection: Http2Connection, address: Address, timer: anyio.CancelScope) -> Result:
+        self.stream = stream = connection.open()
+        left = max(1.0, min(self._call.timeout, self._pipe.deadline - self._clock.now()))
+        if self._pipe.streams:  # a stream may go on for as long as its client waits
+            left = max(1.0, self._pipe.deadline - self._clock.now())
+        headers = [
+            (b":method", b"POST"), (b":scheme", b"http"), (b":path", self._pipe.request.path),
+            (b":authority", str(address).encode()), (b"te", b"trailers"), (b"grpc-timeout", timeout(left)),
+            *metadata(self._pipe.request.headers), *self._call.more]
+        result: Result | None = None
+        try:
+            async with anyio.create_task_group() as tasks:
+                await stream.send_headers(headers)
+                # A stream's endpoint may act on its first message; any other acts once the last byte is there.
+                tasks.start_soon(self._send, stream)
+                tasks.start_soon(self._watch, tasks.cancel_scope)
+                result = await self._answer(stream, timer)
+                tasks.cancel_scope.cancel()
+        except* StreamReset as group:
+            result = self._reset(_first(group))
+        except* CodecError as group:
+            error = _first(group)
+            outcome = Outcome.RESET if self.may_have_run else Outcome.ERROR
+            result = self.ended(Result(outcome), getattr(error, "status", Status.INTERNAL), str(error))
+        if result is None:
+            return self.ended(Result(Outcome.CANCELLED), Status.CANCELLED, "the client has given up")
+        return result
+
+    async def _watch(self, scope: anyio.CancelScope) -> None:
+        await self._pipe.until_cancelled()
+        scope.cancel()
+
+    async def _send(self, stream: Http2Stream) -> None:
+        with suppress(StreamReset):  # the reading side tells it
+            last = False
+            async for message, last in self._pipe.messages():
+                if self._pipe.streams or last:
+                    self.may_have_run = True  # from before its last byte on: whether it got there is not known
+                await stream.send(message, end=last)
+            if not last:
+                self.may_have_run = True
+                await stream.end()
+            if self._call.marks:
+                self._call.marks.note(False, self._clock.now())
+
+    async def _answer(self, stream: Http2Stream, timer: anyio.CancelScope) -> Result:
+        headers = await stream.wait_headers()
+        if self._call.marks:
+            self._call.marks.note(True, self._clock.now())
+        found = dict(headers)
+        code = int(found.get(b":status", b"0")) if found.get(b":status", b"").isdigit() else 0
+        if code != 200 or not found.get(b"content-type", b"").startswith(b"application/grpc"):
+            status = read_status(found[b"grpc-status"]) if b"grpc-status" in found else of_http(code)
+            return self._judge(status, (), begun=False, text=f"the endpoint answered HTTP {code} and no gRPC")
+        deframer = Deframer(self._most)
+        while (data := await stream.receive()) is not None:
+            deframer.feed(data)
+            if data and not self._pipe.begun:
+                # From here on the call cannot be repeated, and it lasts as long as its client waits.
+                timer.deadline = anyio.current_time() + max(0.0, self._pipe.deadline - self._clock.now()) / 1e3
+                await self._pass(self._pipe.pass_headers(headers))
+            if data:
+                await self._pass(self._pipe.pass_data(data))
+        if stream.trailers is None:
+            if b"grpc-status" not in found:
+                return self._judge(Status.UNKNOWN, (), True, "the endpoint's answer has no status")
+            return self._judge(read_status(found[b"grpc-status"]), headers, begun=False)
+        deframer.end()
+        trailers = stream.trailers
+        status = read_status(dict(trailers).get(b"grpc-status"))
+        return self._judge(status, trailers, begun=True, initial=() if self._pipe.begun else headers)
+
+    async def _pass(self, sending: object) -> None:
+        try:
+            await sending  # type: ignore[misc]
+        except StreamReset:
+            self._pipe.cancel()  # the client is gone; the endpoint's stream is reset with the attempt
+            await anyio.sleep_forever()
+
+    def _judge(self, status: Status, trailers: Headers, begun: bool, text: str = "", initial: Headers = ()) -> Result:
+        found = dict(trailers)
+        retry_info = None
+        if details := found.get(b"grpc-status-details-bin"):
+            with suppress(CodecError):
+                retry_info = read_retry_info(decode_binary(details)[0])
+        told = meaning(status, begun, read_pushback(found.get(b"grpc-retry-pushback-ms")), retry_info)
+        if self._call.marks:
+            self._call.marks.status = 200
+        wait = math.ceil(told.wait)
+        if told.answered:
+            ended = metadata(trailers) or plain_trailers(status, text or status.name.lower())
+            return Result(told.outcome, ended=True, wait=wait, answer=Answer(ended, metadata(initial)))
+        return self.ended(Result(told.outcome, wait=wait), status, text or status.name.lower(), trailers)
+
+    def _reset(self, error: BaseException) -> Result:
+        code = getattr(error, "code", 0)
+        if getattr(error, "never_ran", False):
+            if code == Codes.REFUSED_STREAM:
+                return self.ended(Result(Outcome.FULL), Status.UNAVAILABLE, "the endpoint refused the stream")
+            # Above a GOAWAY: the endpoint goes on elsewhere, and is not to blame.
+            return self.ended(Result(Outcome.CONNECT_FAILED, stale=True), Status.UNAVAILABLE, "the connection drains")
+        outcome = Outcome.RESET if self.may_have_run else Outcome.CONNECT_FAILED
+        return self.ended(Result(outcome), Status.UNAVAILABLE, f"the endpoint broke the call off: {error}")
+
+
+def _first(group: BaseExceptionGroup[BaseException]) -> BaseException:
+    error: BaseException = group
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
--- a/calicohitch/interface.py
+++ b/calicohitch/interface.py
@@ -142,6 +142,9 @@
     key_quiet: int = 0
 
 
+PROTOCOLS = ("http", "grpc")  # by their numbers
+
+
 @dataclass(frozen=True, slots=True)
 class Listed:
     """One line of the list of endpoints."""
@@ -153,6 +156,7 @@
     zone: int = 0
     weight: float = 1.0
     since: int = 0
+    speaks: int = 1  # a bit for each protocol that it takes calls in, the lowest for HTTP/1.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -227,7 +231,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Arrived:
-    """A new message, the Sender's to end exactly once; `earlier` is not empty after a restart only."""
+    """A new message, the Sender's to end exactly once; `earlier` is what was tried at it before: by a life that
+    ended, or for a client whose call broke and who comes again."""
 
     message: int
     class_index: int
@@ -239,6 +244,7 @@
     handed_in_again: bool = False
     from_dead_courier: bool = False
     earlier: tuple[EarlierAttempt, ...] = ()
+    protocol: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/calicohitch/journal.py
+++ b/calicohitch/journal.py
@@ -38,6 +38,7 @@
     OUTCOME = 3
     END = 4
     CLOSED = 5
+    CALL = 7  # like TAKEN, of a client's open call, whose body is not kept: a reader that does not know it skips it
     TRACE = 6  # opaque to the journal; a reader that does not know it skips it
 
 
@@ -73,6 +74,7 @@
     attempts: list[Attempt] = field(default_factory=list)
     end: End | None = None
     trace: bytes = b""
+    call: bool = False  # its client's call was open: a later life remembers what was tried, and does not try itself
 
 
 @dataclass(slots=True)
@@ -117,9 +119,9 @@
 
     def taken(self, entry: Entry) -> None:
         text = json.dumps([entry.id, entry.class_name, entry.dest, entry.key]).encode()
-        data = _TAKEN.pack(entry.deadline, len(text)) + text + entry.body
+        data = _TAKEN.pack(entry.deadline, len(text)) + text + (b"" if entry.call else entry.body)
         trace = self._record(_Kind.TRACE, entry.number, entry.trace) if entry.trace else b""
-        segment = self._append(_Kind.TAKEN, entry.number, data, trace)
+        segment = self._append(_Kind.CALL if entry.call else _Kind.TAKEN, entry.number, data, trace)
         self._home[entry.number] = segment
         segment.open += 1
         self.next_number = max(self.next_number, entry.number + 1)
@@ -198,11 +200,12 @@
         kind, number = _HEAD.unpack_from(payload)
         rest = payload[_HEAD.size :]
         self.next_number = max(self.next_number, number + 1)
-        if kind == _Kind.TAKEN:
+        if kind in (_Kind.TAKEN, _Kind.CALL):
             deadline, length = _TAKEN.unpack_from(rest)
             start = _TAKEN.size + length
             wire_id, class_name, dest, key = json.loads(rest[_TAKEN.size : start])
-            self.entries[number] = Entry(number, wire_id, class_name, dest, deadline, key, rest[start:])
+            self.entries[number] = Entry(
+                number, wire_id, class_name, dest, deadline, key, rest[start:], call=kind == _Kind.CALL)
             self._home[number] = segment
             segment.open += 1
         elif (entry := self.entries.get(number)) is None:
--- a/calicohitch/net/clients.py
+++ b/calicohitch/net/clients.py
@@ -11,8 +11,9 @@
 import h11
 from loguru import logger
 
+from ..core.seam import Refusal, Submission
 from .http import Ambiguous, BodyTooLarge, Headers, Link, Request, ServerConnection
-from .relay import Refusal, Relay, Submission
+from .relay import Relay
 
 _IDLE_S = 5.0  # a connection between requests
 _REQUEST_S = 2.0  # from the connect, or a later request's first byte, to the request's last
--- a/calicohitch/net/discovery.py
+++ b/calicohitch/net/discovery.py
@@ -55,8 +55,8 @@
     """The numbers under which the decisions know endpoints, and where each is reached. What has gone is
     forgotten: one that comes back under its old id gets a new number."""
 
-    def __init__(self, names: Names) -> None:
-        self._names = names
+    def __init__(self, names: Names, speaks: Callable[[str, str, int], int] = lambda *_: 1) -> None:
+        self._names, self._speaks = names, speaks
         self._numbers: dict[str, int] = {}
         self._members: dict[int, Member] = {}
         self._last = 0
@@ -117,6 +117,7 @@
             zone=Names.number(self._names.zones, item.get("locality")),
             weight=float(item.get("size", 1.0)),
             since=to_micros(item.get("up_since_ms", 0)),
+            speaks=self._speaks(name, str(item.get("flavor", "")), int(item["cell"])),
         )
         return Member(name, entry, address)
 
--- a/calicohitch/net/endpoints.py
+++ b/calicohitch/net/endpoints.py
@@ -5,14 +5,14 @@
 import errno
 import math
 from collections import deque
-from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import anyio
 
 from ..clock import Clock
 from ..config import Address
+from ..core.seam import Call, Result
 from ..interface import Outcome
 from .http import ClientConnection, Headers, Response
 
@@ -24,45 +24,21 @@
 _ROOM_S = 0.02  # between two looks for a descriptor
 
 
-@dataclass(frozen=True, slots=True)
-class Call:
-    """One attempt as it goes to an endpoint; `timeout` in milliseconds."""
+def headers_of(call: Call, address: Address) -> Headers:
+    named = [
+        (b"Host", str(address)),
+        (b"Req-Id", call.id),
+        (b"Req-Deadline-Ms", str(max(1, math.ceil(call.timeout)))),
+    ]
+    if call.key is not None:
+        named.append((b"Idempotency-Key", call.key))
+    return [*((name, value.encode("latin-1")) for name, value in named), *call.more]
 
-    id: str
-    key: str | None
-    body: bytes
-    timeout: float
-    more: Sequence[tuple[bytes, bytes]] = ()  # headers that go with it
-    marks: Marks | None = None  # where its progress is noted, for those who follow it
 
-    def headers(self, address: Address) -> Headers:
-        named = [
-            (b"Host", str(address)),
-            (b"Req-Id", self.id),
-            (b"Req-Deadline-Ms", str(max(1, math.ceil(self.timeout)))),
-        ]
-        if self.key is not None:
-            named.append((b"Idempotency-Key", self.key))
-        return [*((name, value.encode("latin-1")) for name, value in named), *self.more]
-
-    def mark(self, connection: ClientConnection, warm: bool, clock: Clock) -> None:
-        """Note that a connection is there, and have it note what follows."""
-        if marks := self.marks:
-            marks.warm, marks.connected_at = warm, clock.now()
-            connection.progress = lambda answered: marks.note(answered, clock.now())
-
-
-@dataclass(frozen=True, slots=True)
-class Result:
-    """How a call ended; `ended`: nothing more is owed for its message. `wait` in milliseconds. `stale`: its
-    connection was kept from an earlier call, and broke before any answer."""
-
-    outcome: Outcome
-    ended: bool = False
-    wait: float = 0.0
-    slots_taken: bool = False
-    report: tuple[float, ...] = ()
-    stale: bool = False
+def follow(marks: Marks, connection: ClientConnection, warm: bool, clock: Clock) -> None:
+    """Note that a connection is there, and have it note what follows."""
+    marks.warm, marks.connected_at = warm, clock.now()
+    connection.progress = lambda answered: marks.note(answered, clock.now())
 
 
 def result_of(response: Response, fields: tuple[str, ...]) -> Result:
@@ -145,8 +121,8 @@
                         unsent = True
                         return Result(Outcome.MOOT)
                 if call.marks:
-                    call.mark(connection, stale, self._clock)
-                response = await connection.request("POST", "/v1/messages", call.headers(address), call.body)
+                    follow(call.marks, connection, stale, self._clock)
+                response = await connection.request("POST", "/v1/messages", headers_of(call, address), call.body)
         except OSError:
             never = connection is None or not connection.sent
             stale = stale and connection is not None and not connection.answered
--- a/calicohitch/net/relay.py
+++ b/calicohitch/net/relay.py
@@ -8,9 +8,8 @@
 import heapq
 import math
 from collections import deque
-from collections.abc import Awaitable, Callable, Iterable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field, replace
-from enum import Enum
 from typing import TYPE_CHECKING
 
 import anyio
@@ -20,10 +19,12 @@
 from .. import interface as i
 from ..clock import Clock, to_micros, to_ms
 from ..config import Config
+from ..core.memory import CallMemory
+from ..core.seam import Call, Delivery, Ended, How, Refusal, Reply, Result, Submission
 from ..journal import Attempt, End, Entry, Journal, JournalFull
 from ..rules import Sender
 from .discovery import Directory, Discovery, ListError, Member
-from .endpoints import Call, Endpoints, Result
+from .endpoints import Endpoints
 from .notices import Notice, Notices
 from .peers import Peers
 
@@ -36,41 +37,24 @@
 _SPARE_SOCKETS = 24  # the listener, discovery, notices, notes, the journal, and what the interpreter holds
 
 
-class Refusal(Enum):
-    """Why a message was not taken on, or not once more."""
-
-    STARTING = "the relay is starting"
-    STOPPING = "the relay is stopping"
-    FULL = "no room for another message"
-    LEFT = "the client has left"
-    NO_KEY = "a message of this class needs a key"
-    UNKNOWN = "no endpoint is known for the destination"
-    BEING_TAKEN = "it is being handed in on another connection"
-    TAKEN = "it is taken on already"
-
-
-@dataclass(frozen=True, slots=True)
-class Submission:
-    """A message as it is handed in, in whatever protocol. `time_left` in milliseconds."""
-
-    id: str
-    class_index: int
-    dest: int
-    time_left: float
-    key: str | None
-    body: bytes
-    handed_in_again: bool = False
-    from_dead_relay: bool = False
-    headers: Iterable[tuple[bytes, bytes]] = ()  # as they came, for those who follow a message's path
-
-
 @dataclass(slots=True, eq=False)
 class _Open:
     """A message that is owed its end."""
 
     entry: Entry
+    told: Submission | None = None  # None: an earlier life took it on
     accepted: bool = False  # the decisions have it
     calls: dict[int, anyio.CancelScope] = field(default_factory=dict)
+    withdrawn: bool = False  # its client has gone; the attempt that is out ends by itself
+
+    @property
+    def reply(self) -> Reply | None:
+        return self.told.reply if self.told and not self.withdrawn else None
+
+
+def _earlier(entry: Entry) -> tuple[i.EarlierAttempt, ...]:
+    return tuple(
+        i.EarlierAttempt(to_micros(was.sent_at), was.zone, was.may_have_run) for was in entry.attempts)
 
 
 async def _kept_up(run: Callable[[], Awaitable[None]]) -> None:
@@ -88,7 +72,13 @@
     is one, is told what happens and changes nothing."""
 
     def __init__(
-        self, config: Config, clock: Clock, journal: Journal, tracer: Tracer | None = None
+        self,
+        config: Config,
+        clock: Clock,
+        journal: Journal,
+        tracer: Tracer | None = None,
+        speaks: Callable[[str, str, int], int] = lambda *_: 1,
+        reserved: int = 0,
     ) -> None:
         self._config, self._clock, self._journal = config, clock, journal
         settings = config.settings
@@ -105,7 +95,7 @@
         self._tasks: TaskGroup | None = None
         self.ready = self.stopping = False
         self.max_clients = config.limits.sockets // 2
-        self._directory = Directory(config.names)
+        self._directory = Directory(config.names, speaks)
         self._discovery = Discovery(config.discovery, self._directory, self._listed)
         self._waits: dict[int, float] = {}  # destination, or endpoint where those are routes apart -> its end
         self._notices = Notices(config.discovery, self._closed)
@@ -114,8 +104,10 @@
             tuple(report.name for report in settings.reports),
             to_ms(settings.idle_time),
             to_ms(settings.connect_timeout),
-            most=config.limits.sockets - self.max_clients - _SPARE_SOCKETS,
+            most=max(1, config.limits.sockets - self.max_clients - _SPARE_SOCKETS - reserved),
         )
+        self._deliveries: dict[int, Delivery] = {0: self._endpoints}
+        self._memory = CallMemory(settings.open_cap * 4)
         self._peers: Peers | None = None
         if settings.may_tell and config.peer_listen:
             self._peers = Peers(config.peer_listen, config.peers, config.peers_all, self._heard)
@@ -127,7 +119,8 @@
             tasks.start_soon(_kept_up, self._ring)
             tasks.start_soon(_kept_up, self._end_overdue)
             tasks.start_soon(_kept_up, self._notices.run)
-            tasks.start_soon(_kept_up, self._endpoints.run)
+            for delivery in self._deliveries.values():
+                tasks.start_soon(_kept_up, delivery.run)
             if self._peers:
                 tasks.start_soon(_kept_up, self._peers.run)
             if self._tracer:
@@ -174,12 +167,15 @@
             return Refusal.UNKNOWN
         if len(self._open) >= self._config.settings.open_cap or not self._journal.has_room(len(told.body)):
             return Refusal.FULL
+        if told.reply and (known := self._memory.recall(told.id)):
+            return self._take_again(known, told)
         number = self._journal.next_number
         longest = to_ms(self._config.settings.classes[told.class_index].deadline)
         now = self._clock.now()
         deadline = now + min(max(told.time_left, 0.0), longest)
         class_name = self._config.names.classes[told.class_index]
-        entry = Entry(number, told.id, class_name, told.dest, deadline, told.key, told.body)
+        entry = Entry(number, told.id, class_name, told.dest, deadline, told.key, told.body,
+            call=told.reply is not None)
         if self._tracer:
             entry.trace = self._tracer.taking(entry, told.headers, now, told.handed_in_again)
         try:
@@ -191,10 +187,26 @@
             return Refusal.FULL
         if self._tracer:
             self._tracer.taken(number)
-        self._open[number] = _Open(entry)
+        self._open[number] = _Open(entry, told)
         self._by_id[told.id] = number
         return number
 
+    def _take_again(self, entry: Entry, told: Submission) -> int | Refusal:
+        """A client's call broke, here or in an earlier life, and it comes again: what was tried counts."""
+        if (entry.class_name, entry.dest, entry.key) != (
+                self._config.names.classes[told.class_index], told.dest, told.key):
+            return Refusal.TAKEN  # another message under its id
+        self._memory.forget(told.id)
+        longest = to_ms(self._config.settings.classes[told.class_index].deadline)
+        entry.deadline = self._clock.now() + min(max(told.time_left, 0.0), longest)
+        entry.body = told.body
+        if self._tracer:
+            self._tracer.taking(entry, told.headers, self._clock.now(), True)
+            self._tracer.taken(entry.number)
+        self._open[entry.number] = _Open(entry, told)
+        self._by_id[told.id] = entry.number
+        return entry.number
+
     def accept(self, number: int, told: Submission) -> None:
         """The client knows that its message is taken on: the decisions may have it."""
         message = self._open.get(number)
@@ -204,7 +216,36 @@
                 self._tracer.accepted(number)
             left = to_micros(message.entry.deadline - self._clock.now())
             self.feed(i.Arrived(number, told.class_index, told.dest, max(0, left),
-                handed_in_again=told.handed_in_again, from_dead_courier=told.from_dead_relay))
+                handed_in_again=told.handed_in_again, from_dead_courier=told.from_dead_relay,
+                earlier=_earlier(message.entry), protocol=told.protocol))
+
+    def cancel(self, number: int) -> None:
+        """The client of an open call has given it up: nothing is answered any more. What was tried is remembered as
+        long as it matters, and an attempt that is out is known until its own end."""
+        message = self._open.get(number)
+        if message is None or message.withdrawn:
+            return
+        message.withdrawn = True
+        self.feed(i.Withdrawn(number))
+        if not message.calls:
+            self._forget(number)
+            self._remember(message.entry)
+
+    def _remember(self, entry: Entry) -> None:
+        """A call is over without a delivery. As long as its effects may matter its client may come again and is told
+        what is true; a call that surely never ran is forgotten at once."""
+        window = 0.0
+        if entry.class_name in self._config.names.classes:
+            cls = self._config.settings.classes[self._config.names.classes.index(entry.class_name)]
+            window = to_ms(max(cls.window, 0))
+        if self._tracer:
+            self._tracer.closed(entry.number)
+        for number in self._memory.keep(entry, window, self._clock.now()):
+            self._closed(number)
+
+    def deliver_by(self, protocol: int, delivery: Delivery) -> None:
+        """Calls in this protocol go through that delivery; before `run`."""
+        self._deliveries[protocol] = delivery
 
     def withdraw(self, number: int) -> None:
         """The client left before it was told: nothing is owed, and it may hand the message in elsewhere."""
@@ -251,7 +292,8 @@
         self.feed(told)
         for entry in told.entries:
             if entry.phase is not i.Phase.READY:
-                self._endpoints.close_idle(entry.endpoint)
+                for delivery in self._deliveries.values():
+                    delivery.close_idle(entry.endpoint)
 
     def _do(self, action: i.Action) -> None:
         match action:
@@ -268,7 +310,8 @@
                 heapq.heappush(self._timers, (self._clock.now() + to_ms(delay), token))
                 self._timer_set.set()
             case i.CloseIdle(endpoint):
-                self._endpoints.close_idle(endpoint)
+                for delivery in self._deliveries.values():
+                    delivery.close_idle(endpoint)
             case i.Tell(peer, data) if self._peers:
                 self._peers.tell(peer, data)
             case i.Log(text):
@@ -298,10 +341,13 @@
                     more: Sequence[tuple[bytes, bytes]], marks: Marks | None) -> None:
         entry, result = message.entry, Result(i.Outcome.MOOT)
         left = max(1.0, entry.deadline - entry.attempts[attempt].sent_at)
-        call = Call(entry.id, entry.key, entry.body, min(to_ms(action.timeout) or left, left), more, marks)
+        told = message.told
+        call = Call(entry.id, entry.key, entry.body, min(to_ms(action.timeout) or left, left), more, marks,
+            told.content if told else None)
+        delivery = self._deliveries.get(told.protocol if told else 0, self._endpoints)
         try:
             if member and member.address:
-                result = await self._endpoints.call(action.endpoint, member.address, call,
+                result = await delivery.call(action.endpoint, member.address, call,
                     message.calls[attempt], lambda: self._wanted(action, member))
         except Exception:  # guards all other messages against a fault in the handling of one
             logger.exception("a call broke off")
@@ -331,21 +377,47 @@
             self._tracer.settled(number, attempt, result.outcome, result.wait, result.ended)
         if result.ended:
             self._forget(number)
-            self._closed(number)
+            if message.told and message.told.reply:
+                self._answer(message, result)
+            else:
+                self._closed(number)
         else:
             try:
                 self._journal.outcome(number, attempt, not result.outcome.never_ran)
             except JournalFull as err:  # after a restart the attempt counts as one that may have run
                 logger.error("journal: {}", err)
+            made = message.entry.attempts[attempt]
+            made.may_have_run, made.settled = not result.outcome.never_ran, True
+            if message.withdrawn and not message.calls:
+                self._forget(number)
+                self._remember(message.entry)
         took = to_micros(now - message.entry.attempts[attempt].sent_at)
         self.feed(i.Settled(number, attempt, endpoint, result.outcome, took, result.ended,
             to_micros(math.ceil(result.wait)), result.slots_taken, result.report, result.stale))
 
+    def _answer(self, message: _Open, result: Result) -> None:
+        """The delivery's end is the call's: what the endpoint answered, or a half of it that cannot be taken back."""
+        delivered = result.outcome is i.Outcome.OK
+        if message.reply:
+            how = How.DELIVERED if delivered else How.FAILED
+            message.reply.ended(Ended(how, may_have_run=True, answer=result.answer))
+        if delivered:
+            self._closed(message.entry.number)
+        else:
+            self._remember(message.entry)
+
     def _end(self, number: int, end: End) -> None:
         if (message := self._forget(number)) is None:
             return
         if self._tracer:
             self._tracer.ended(number, end.handed_back, end.retry_in)
+        if message.told and message.told.reply:
+            if reply := message.reply:
+                ran = any(attempt.may_have_run for attempt in message.entry.attempts)
+                how = How.REFUSED if end.handed_back else How.FAILED
+                reply.ended(Ended(how, end.retry_in, ran))
+            self._remember(message.entry)
+            return
         try:
             self._journal.end(number, end)
         except JournalFull as err:  # after a restart the decisions come to an end of their own
@@ -377,6 +449,9 @@
         """Tell the decisions what an earlier life left open, and send the notices that it still owes."""
         now, arrived = self._clock.now(), []
         for entry in list(self._journal.entries.values()):
+            if entry.call:
+                self._remember(entry)
+                continue
             if self._tracer:
                 self._tracer.recovered(entry)
             if entry.end:
@@ -386,10 +461,8 @@
             else:
                 self._open[entry.number] = _Open(entry, accepted=True)
                 self._by_id[entry.id] = entry.number
-                earlier = tuple(i.EarlierAttempt(to_micros(was.sent_at), was.zone, was.may_have_run)
-                                for was in entry.attempts)
                 arrived.append(i.Arrived(entry.number, self._config.names.classes.index(entry.class_name),
-                    entry.dest, max(0, to_micros(entry.deadline - now)), earlier=earlier))
+                    entry.dest, max(0, to_micros(entry.deadline - now)), earlier=_earlier(entry)))
         if self._journal.entries:
             logger.info("from the journal: {} messages, {} notices", len(arrived), len(self._notices))
         self._journal.entries.clear()
@@ -412,6 +485,8 @@
         message before its time is up, so this finds none unless they broke."""
         while True:
             await anyio.sleep(_OVERDUE_MS / 1e3)
+            for number in self._memory.expired(self._clock.now()):
+                self._closed(number)
             overdue = self._clock.now() - _OVERDUE_MS
             for number in [n for n, open_ in self._open.items() if open_.entry.deadline < overdue]:
                 logger.error("message {} was overdue and is given up", self._open[number].entry.id)
--- a/calicohitch/rules.py
+++ b/calicohitch/rules.py
@@ -463,6 +463,8 @@
 
     def _suits(self, message: Message, endpoint: Endpoint) -> bool:
         """A keyed repeat keeps its zone; an unsafe message, which a failure ends, waits while many fail."""
+        if not endpoint.told.speaks >> message.told.protocol & 1:
+            return False  # it does not take calls in the message's protocol
         cls, route, ran = message.cls, endpoint.route, message.may_have_run
         if cls.effect is Effect.KEYED and cls.group != "all" and ran:
             return endpoint.told.zone == min(ran.values())[1]
--- a/calicohitch/service.py
+++ b/calicohitch/service.py
@@ -4,12 +4,14 @@
 
 import signal
 from collections.abc import Callable
+from contextlib import ExitStack
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import anyio
 from loguru import logger
 
-from .clock import Clock
+from .clock import Clock, to_ms
 from .config import Config
 from .config.operator import Operator
 from .journal import Journal
@@ -18,6 +20,8 @@
 from .net.relay import Relay
 
 if TYPE_CHECKING:
+    from .grpc.intake import GrpcIntake
+    from .grpc.settings import GrpcSettings
     from .tracing.tracer import Tracer
 
 _MB = 1_000_000  # the platform counts disk in these
@@ -35,20 +39,29 @@
     clock, operator = clock or Clock(), operator or Operator()
     journal = Journal(config.state, config.limits.disk_mb * _MB)
     tracer = _tracer(config, clock, operator)
-    relay = Relay(config, clock, journal, tracer)
-    with listen(config.listen) as listener:
+    grpc = operator.grpc
+    if grpc:  # its connections, on both sides, take part in the one limit of descriptors
+        relay = Relay(config, clock, journal, tracer, grpc.speaks, 2 * (config.limits.sockets // 8))
+    else:
+        relay = Relay(config, clock, journal, tracer)
+    with listen(config.listen) as listener, ExitStack() as stack:
         logger.bind(event="relay.listening").info("{} listens at {}", config.name, config.listen)
         clients = Clients(relay, config.names.classes, listener)
+        calls = _grpc(relay, grpc, config, clock, stack) if grpc else None
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(relay.run)
                 tasks.start_soon(clients.run)
+                if calls:
+                    tasks.start_soon(calls.run)
                 await _stopped(relay, reload)
                 logger.bind(event="relay.stopping").info("stopping: new messages are refused, open ones go on")
                 relay.stopping = True
+                if calls:
+                    await calls.drain()
                 await anyio.sleep(_SETTLE_S)
                 clients.close_waiting()
-                while clients.answering or not relay.idle:
+                while clients.answering or not relay.idle or calls and calls.open_calls:
                     await anyio.sleep(0.05)
                 if tracer:
                     await tracer.drain()
@@ -59,6 +72,19 @@
                 tracer.close()
 
 
+def _grpc(relay: Relay, settings: GrpcSettings, config: Config, clock: Clock, stack: ExitStack) -> GrpcIntake:
+    """The gRPC server before the relay, and the calls behind it."""
+    from .grpc.delivery import GrpcDelivery
+    from .grpc.intake import PROTOCOL, GrpcIntake
+
+    connect_ms = to_ms(config.settings.connect_timeout)
+    relay.deliver_by(PROTOCOL, GrpcDelivery(clock, connect_ms, config.limits.sockets // 8, settings.message))
+    listener = stack.enter_context(listen(settings.listen))
+    logger.bind(event="grpc.listening").info("{} takes gRPC calls at {}", config.name, settings.listen)
+    settings = replace(settings, connections=min(settings.connections, config.limits.sockets // 8))
+    return GrpcIntake(relay, settings, config.settings.classes, listener, clock)
+
+
 def _tracer(config: Config, clock: Clock, operator: Operator) -> Tracer | None:
     if operator.tracing is None:
         return None
--- a/calicohitch/tracing/export/collector.py
+++ b/calicohitch/tracing/export/collector.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import gzip
+import zlib
 from collections.abc import Callable, Mapping
 
 import anyio
@@ -109,7 +109,8 @@
 
     def _compressed(self, body: bytes) -> bytes:
         if self._set.compression == "gzip":
-            return gzip.compress(body, compresslevel=1, mtime=0)
+            packer = zlib.compressobj(1, zlib.DEFLATED, 16 + zlib.MAX_WBITS)  # 16: in gzip's form
+            return packer.compress(body) + packer.flush()
         if self._set.compression == "zstd":
             import zstandard
 
--- a/calicohitch/tracing/export/queue.py
+++ b/calicohitch/tracing/export/queue.py
@@ -5,7 +5,6 @@
 import random
 from collections import deque
 from dataclasses import dataclass
-from email.utils import parsedate_to_datetime
 from enum import Enum
 
 FIRST_PAUSE_MS, LONGEST_PAUSE_MS = 500.0, 30_000.0
@@ -103,6 +102,8 @@
     try:
         told = float(text) * 1e3 if text else None
     except ValueError:
+        from email.utils import parsedate_to_datetime  # most of a megabyte, for a form that is hardly met
+
         try:
             told = parsedate_to_datetime(text.decode("latin-1")).timestamp() * 1e3 - now
         except (ValueError, TypeError, OverflowError):
--- a/calicohitch/tracing/facts.py
+++ b/calicohitch/tracing/facts.py
@@ -9,6 +9,7 @@
 from .context import TraceContext
 
 MOST_HOLDS = 24  # holds that are kept of a message; eight attempts make nine, and changes of reason the rest
+_NO_HOLD_MS = 0.2  # a message that goes out at once is not held, though some lines lie between
 MOST_CHANGES = 256  # changes of reason that are remembered of a destination
 
 
@@ -60,7 +61,7 @@
     """A stretch without an attempt out; `own` is a reason that is the message's and not its destination's."""
 
     since: float
-    until: float = 0.0
+    until: float
     own: Hold | None = None
 
 
@@ -84,21 +85,27 @@
     attempts: list[AttemptFacts] = field(default_factory=list)
     holds: list[HoldFacts] = field(default_factory=list)
     holds_left_out: int = 0
+    holding: float = 0.0  # since when it is held; 0 while it is not
+    holding_own: Hold | None = None
     end: End | None = None
     decided_at: float = 0.0  # the end was decided
     ended_at: float = 0.0  # nothing more was owed: delivered, or the notice acknowledged
     retry_in: float = 0.0
     refusal: str = ""
 
-    def hold(self, now: float, own: Hold | None) -> None:
-        if len(self.holds) >= MOST_HOLDS:
-            self.holds_left_out += 1
-        elif not self.holds or self.holds[-1].until:
-            self.holds.append(HoldFacts(now, own=own))
+    def hold(self, now: float) -> None:
+        if not self.holding:
+            self.holding, self.holding_own = now, None
 
     def release(self, now: float) -> None:
-        if self.holds and not self.holds[-1].until:
-            self.holds[-1].until = now
+        if not self.holding:
+            return
+        if now - self.holding >= _NO_HOLD_MS:
+            if len(self.holds) >= MOST_HOLDS:
+                self.holds_left_out += 1
+            else:
+                self.holds.append(HoldFacts(self.holding, now, self.holding_own))
+        self.holding = 0.0
 
     @property
     def late(self) -> bool:
--- a/calicohitch/tracing/sampling.py
+++ b/calicohitch/tracing/sampling.py
@@ -92,10 +92,11 @@
         self.seen: Counter[Cause] = Counter()
         self.kept: Counter[Cause] = Counter()
 
-    def offer(self, now: float, cause: Cause, dest: int, trace_id: bytes, item: Item) -> None:
+    def offer(self, now: float, cause: Cause, dest: int, trace_id: bytes, item: Item) -> bool:
+        """Whether the trace is kept for now."""
         self.seen[cause] += 1
         if cause is Cause.ORDINARY and not in_share(trace_id, self._budget.ordinary):
-            return
+            return False
         if self._window_ends is None:
             self._window_ends = now + WINDOW_MS
         name = (cause, dest)
@@ -108,7 +109,7 @@
         if stratum.room is not None and len(stratum.items) >= stratum.room:
             # A full reservoir: the n-th comes in with chance room / n, in the place of any other.
             if not stratum.items or self._random.randrange(stratum.seen) >= len(stratum.items):
-                return
+                return False
             self._evict(stratum)
         spans, size = self._cost(item)
         stratum.items.append((item, spans, size))
@@ -121,6 +122,7 @@
                 break  # one trace is kept whatever it costs: facts are bounded
             self._evict(largest)
             largest.room = len(largest.items)
+        return True
 
     def _over(self) -> bool:
         return self._spans > self._budget.spans or self._bytes > self._budget.bytes
--- a/calicohitch/tracing/settings.py
+++ b/calicohitch/tracing/settings.py
@@ -30,7 +30,7 @@
     compression: str = "gzip"
     timeout_ms: float = 2_000.0
     batch_bytes: int = 64 << 10
-    queue_bytes: int = 1 << 20
+    queue_bytes: int = 256 << 10
     give_up_ms: float = 60_000.0
 
 
--- a/calicohitch/tracing/spans.py
+++ b/calicohitch/tracing/spans.py
@@ -139,7 +139,7 @@
 
 
 def _stretches(hold: HoldFacts, timeline: Timeline | None, make: _Maker) -> list[tuple[float, float, Hold]]:
-    until = hold.until or make.high / 1e6
+    until = hold.until
     if until <= hold.since:
         return []
     if hold.own is not None:
--- a/calicohitch/tracing/tracer.py
+++ b/calicohitch/tracing/tracer.py
@@ -65,6 +65,7 @@
     timeline: Timeline = field(default_factory=Timeline)
     held: dict[int, None] = field(default_factory=dict)
     live: int = 0
+    reason: Hold | None = None  # what was heard last
     asked_again_at: float = 0.0  # when the reason that was heard last may end
 
 
@@ -172,7 +173,8 @@
         facts.release(now)
         if dest := self._dests.get(facts.dest):
             dest.held.pop(number, None)
-            self._touched[facts.dest] = None
+            if dest.held or dest.reason:
+                self._touched[facts.dest] = None
         marks = Marks()
         endpoint, address = (member.id, str(member.address or "")) if member else ("", "")
         facts.attempts.append(AttemptFacts(now, endpoint, address, zone, marks))
@@ -196,7 +198,8 @@
             facts.decided_at = now
         else:
             self._hold(number, now)
-        self._touched[facts.dest] = None
+        if (dest := self._dests.get(facts.dest)) and (dest.held or dest.reason):
+            self._touched[facts.dest] = None
 
     def ended(self, number: int, handed_back: bool, retry_in: float) -> None:
         if facts := self._live.get(number):
@@ -248,11 +251,11 @@
             self._touched[heapq.heappop(self._wakes)[1]] = None
         for number in self._fresh:
             facts = self._live.get(number)
-            if facts is None or not facts.holds or facts.holds[-1].until:
+            if facts is None or not facts.holding:
                 continue
             self._touched[facts.dest] = None
             if (held := self.why(number)) and held.why in _OWN:
-                facts.holds[-1].own = held.why
+                facts.holding_own = held.why
         self._fresh.clear()
         for name in self._touched:
             if dest := self._dests.get(name):
@@ -271,7 +274,8 @@
                 continue
             break  # the decisions do not hold it: it is out or over, and the relay tells so next
         until = to_ms(held.until) if held else 0.0
-        dest.timeline.note(now, held.why if held else None, until)
+        dest.reason = held.why if held else None
+        dest.timeline.note(now, dest.reason, until)
         if until > now and dest.asked_again_at != until:
             dest.asked_again_at = until
             heapq.heappush(self._wakes, (until, name))
@@ -301,7 +305,7 @@
 
     def _hold(self, number: int, now: float) -> None:
         if facts := self._live.get(number):
-            facts.hold(now, None)
+            facts.hold(now)
             self._dests.setdefault(facts.dest, _Dest()).held[number] = None
             self._fresh.append(number)
 
@@ -315,8 +319,8 @@
         facts.ended_at = now
         facts.release(now)
         self._take(now)
-        self._sampler.offer(now, cause_of(facts), facts.dest, facts.context.trace_id, facts)
-        self._note_owed()
+        if self._sampler.offer(now, cause_of(facts), facts.dest, facts.context.trace_id, facts):
+            self._note_owed()
 
     def _take(self, now: float, all_of_it: bool = False) -> None:
         """Move what a window kept to where spans are made."""
--- /dev/null
+++ b/tests/grpc_/test_codec.py
@@ -0,0 +1,216 @@
+"""The gRPC codec, the status table, routes, conduct and memory: bytes and facts alone."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+from google.protobuf import any_pb2, duration_pb2
+from google.rpc import error_details_pb2, status_pb2
+from hypothesis import given
+from hypothesis import strategies as st
+
+from calicohitch.core.memory import CallMemory
+from calicohitch.grpc.codec import (
+    CodecError,
+    Deframer,
+    decode_binary,
+    decode_message,
+    encode_binary,
+    encode_message,
+    frame,
+    metadata,
+    read_request,
+    read_timeout,
+    timeout,
+)
+from calicohitch.grpc.health import answer
+from calicohitch.grpc.routes import Route, Routes, clashes
+from calicohitch.grpc.status import Meaning, Status, meaning, of_http, read_pushback, read_retry_info, read_status
+from calicohitch.interface import Outcome
+from calicohitch.journal import Attempt, Entry
+from calicohitch.wire.conduct import Act, Conduct
+
+
+class Codec(unittest.TestCase):
+    def test_timeouts(self) -> None:
+        for text, ms in ((b"1H", 3_600_000.0), (b"2M", 120_000.0), (b"3S", 3_000.0), (b"4m", 4.0), (b"5u", 0.005),
+                         (b"6n", 6e-6), (b"99999999H", 10 * 365 * 86_400_000.0), (b"0m", 0.0)):
+            with self.subTest(text=text):
+                self.assertEqual(read_timeout(text), ms)
+        for text in (b"", b"m", b"123456789m", b"1", b"1x", b"-1m", b"1.5S", b" 1m", b"1m "):
+            with self.subTest(text=text), self.assertRaises(CodecError):
+                read_timeout(text)
+
+    @given(st.floats(1e-6, 1e11))
+    def test_a_timeout_is_never_longer_than_what_is_left(self, ms: float) -> None:
+        told = read_timeout(timeout(ms))
+        self.assertLessEqual(told, ms * (1 + 1e-9) + 1e-6)
+        self.assertGreater(told, min(ms * 0.99, 9e12) - 1e-5)
+
+    @given(st.text())
+    def test_messages_survive(self, text: str) -> None:
+        encoded = encode_message(text.encode("utf-8", "replace").decode())
+        self.assertTrue(all(0x20 <= c <= 0x7E for c in encoded))
+        self.assertEqual(decode_message(encoded), text.encode("utf-8", "replace").decode())
+
+    def test_broken_encodings_are_kept(self) -> None:
+        for data, text in ((b"100%", "100%"), (b"%zz", "%zz"), (b"%4", "%4"), (b"%41%", "A%"), (b"%ff", "\ufffd")):
+            self.assertEqual(decode_message(data), text)
+
+    @given(st.lists(st.binary(max_size=40), max_size=8), st.lists(st.integers(1, 30), max_size=40))
+    def test_messages_are_found_however_the_data_is_cut(self, bodies: list[bytes], cuts: list[int]) -> None:
+        data, deframer, found = b"".join(frame(body) for body in bodies), Deframer(40), []
+        for cut in cuts:
+            found += deframer.feed(data[:cut])
+            data = data[cut:]
+        found += deframer.feed(data)
+        deframer.end()
+        self.assertEqual([message[5:] for message in found], bodies)
+
+    def test_prefixes_that_promise_too_much_or_nothing(self) -> None:
+        for data, status in ((b"\x00\xff\xff\xff\xff", Status.RESOURCE_EXHAUSTED),
+                             (b"\x02\x00\x00\x00\x01", Status.INTERNAL)):
+            with self.subTest(data=data), self.assertRaises(CodecError) as caught:
+                Deframer(1_000).feed(data)
+            self.assertIs(caught.exception.status, status)
+        cut = Deframer(10)
+        cut.feed(b"\x00\x00\x00\x00\x05abc")
+        with self.assertRaises(CodecError):
+            cut.end()
+
+    @given(st.binary(max_size=50))
+    def test_binary_values(self, value: bytes) -> None:
+        self.assertEqual(decode_binary(encode_binary(value)), [value])
+        self.assertEqual(decode_binary(encode_binary(value) + b", " + encode_binary(b"x")), [value, b"x"])
+
+    def test_requests(self) -> None:
+        good = [(b":method", b"POST"), (b":scheme", b"http"), (b":path", b"/a.B/C"),
+                (b"content-type", b"application/grpc+proto"), (b"te", b"trailers"),
+                (b"grpc-timeout", b"5S"), (b"x-y", b"z"), (b"traceparent", b"t")]
+        told = read_request(good)
+        self.assertEqual((told.service, told.method, told.timeout_ms), ("a.B", "C", 5_000.0))
+        self.assertEqual(metadata(good), [(b"content-type", b"application/grpc+proto"), (b"x-y", b"z")])
+        changes: list[tuple[bytes, bytes | None, Status]] = [
+            (b":method", b"GET", Status.UNIMPLEMENTED), (b":path", b"/a", Status.UNIMPLEMENTED),
+            (b":path", b"/a/b/c", Status.UNIMPLEMENTED), (b":path", None, Status.UNIMPLEMENTED),
+            (b"content-type", b"text/plain", Status.INVALID_ARGUMENT),
+            (b"content-type", b"application/grpcx", Status.INVALID_ARGUMENT),
+            (b"content-type", None, Status.INVALID_ARGUMENT), (b"grpc-timeout", b"soon", Status.INVALID_ARGUMENT),
+            (b"x-y", b"\x00", Status.INTERNAL), (b"x-y", b"\xff", Status.INTERNAL)]
+        for name, value, status in changes:
+            headers = [(k, v if k != name else value) for k, v in good if k != name or value is not None]
+            with self.subTest(name=name, value=value), self.assertRaises(CodecError) as caught:
+                read_request(headers)  # type: ignore[arg-type]
+            self.assertIs(caught.exception.status, status)
+
+
+class Table(unittest.TestCase):
+    def test_every_row(self) -> None:
+        ok, error, full = Meaning(Outcome.OK, answered=True), Meaning(Outcome.ERROR), Meaning(Outcome.FULL)
+        answers = {"OK", "INVALID_ARGUMENT", "NOT_FOUND", "ALREADY_EXISTS", "PERMISSION_DENIED", "FAILED_PRECONDITION",
+                   "OUT_OF_RANGE", "UNIMPLEMENTED", "UNAUTHENTICATED"}
+        for status in Status:
+            for begun in (False, True):
+                if status.name in answers:
+                    expected = ok
+                elif status is Status.RESOURCE_EXHAUSTED and not begun:
+                    expected = full
+                else:
+                    expected = error
+                with self.subTest(status=status.name, begun=begun):
+                    self.assertEqual(meaning(status, begun, None, None), expected)
+        for status in (Status.RESOURCE_EXHAUSTED, Status.UNAVAILABLE):
+            told = Meaning(Outcome.FULL, wait=700.0)
+            self.assertEqual(meaning(status, False, 700.0, None), told)
+            self.assertEqual(meaning(status, False, None, 700.0), told)
+            self.assertEqual(meaning(status, False, 700.0, 900.0), told)
+            self.assertEqual(meaning(status, True, 700.0, None), Meaning(Outcome.ERROR, wait=700.0))
+            self.assertEqual(meaning(status, False, -1.0, 700.0), Meaning(Outcome.ERROR, answered=True))
+            self.assertEqual(meaning(status, False, 1e12, None).wait, 3_600_000.0)
+        self.assertEqual(meaning(Status.INTERNAL, False, 700.0, 700.0), error)  # only those two tell to wait
+
+    def test_what_is_read_of_trailers(self) -> None:
+        for text, status in ((b"0", Status.OK), (b"16", Status.UNAUTHENTICATED), (b"17", Status.UNKNOWN),
+                             (b"x", Status.UNKNOWN), (b"", Status.UNKNOWN),
+                             (None, Status.UNKNOWN), (b"-1", Status.UNKNOWN)):
+            self.assertIs(read_status(text), status)
+        for text, wait in ((None, None), (b"0", 0.0), (b"250", 250.0), (b"-1", -1.0), (b"soon", -1.0),
+                           (b"9" * 50, -1.0)):
+            self.assertEqual(read_pushback(text), wait)
+        self.assertEqual([of_http(code) for code in (404, 503, 200)],
+            [Status.UNIMPLEMENTED, Status.UNAVAILABLE, Status.UNKNOWN])
+
+    def test_retry_info(self) -> None:
+        def details(*messages: Any) -> bytes:
+            told = status_pb2.Status(code=8)
+            for message in messages:
+                packed = any_pb2.Any()
+                packed.Pack(message)
+                told.details.append(packed)
+            return bytes(told.SerializeToString())
+
+        info = error_details_pb2.RetryInfo(retry_delay=duration_pb2.Duration(seconds=1, nanos=500_000_000))
+        other = error_details_pb2.ErrorInfo(reason="x")
+        self.assertEqual(read_retry_info(details(other, info)), 1_500.0)
+        self.assertIsNone(read_retry_info(details(other)))
+        self.assertIsNone(read_retry_info(b"\xff\xff\xff"))
+        self.assertIsNone(read_retry_info(b""))
+        negative = error_details_pb2.RetryInfo(retry_delay=duration_pb2.Duration(seconds=-1))
+        self.assertIsNone(read_retry_info(details(negative)))
+
+
+class Deciding(unittest.TestCase):
+    def test_routes(self) -> None:
+        routes = Routes((Route("a.B", "C", 0, 7), Route("a.B", "*", 1, None, "dest")))
+        base = [(b":method", b"POST"), (b"content-type", b"application/grpc")]
+
+        def find(path: bytes, *more: tuple[bytes, bytes]) -> Any:
+            return routes.find(read_request([*base, (b":path", path), *more]))
+
+        self.assertEqual((find(b"/a.B/C").dest, find(b"/a.B/C").route.class_index), (7, 0))
+        self.assertEqual(find(b"/a.B/D", (b"dest", b"9"), (b"req-id", b"r1")).id, "r1")
+        for path, more, status in (
+                (b"/a.X/C", (), Status.UNIMPLEMENTED), (b"/a.B/D", (), Status.INVALID_ARGUMENT),
+                (b"/a.B/D", ((b"dest", b"x"),), Status.INVALID_ARGUMENT),
+                (b"/a.B/C", ((b"req-id", b"a b"),), Status.INVALID_ARGUMENT),
+                (b"/a.B/C", ((b"req-id", b"a"), (b"req-id", b"b")), Status.INVALID_ARGUMENT)):
+            with self.subTest(path=path, more=more), self.assertRaises(CodecError) as caught:
+                find(path, *more)
+            self.assertIs(caught.exception.status, status)
+        self.assertEqual(clashes((Route("a", "b", 0, 1), Route("a", "b", 1, 2), Route("a", "c", 0, 1))), ["/a/b"])
+
+    def test_conduct_forgives_slowly(self) -> None:
+        conduct = Conduct()
+        self.assertEqual([conduct.did(Act.PING, 0.0) for _ in range(21)], [False] * 20 + [True])
+        fresh = Conduct()
+        self.assertFalse(any(fresh.did(Act.PING, n * 500.0) for n in range(1_000)))  # two a second for ever
+        self.assertFalse(any(fresh.did(Act.RESET, 0.0) for _ in range(100)))
+        self.assertTrue(fresh.did(Act.RESET, -5.0))  # a clock that stepped back forgives nothing
+
+    def test_a_call_is_remembered_as_long_as_it_may_matter(self) -> None:
+        def entry(number: int, deadline: float, *attempts: Attempt) -> Entry:
+            return Entry(number, f"e{number}", "orders", 7, deadline, "k", b"x", list(attempts))
+
+        memory = CallMemory(2)
+        ran, never = Attempt(1_000.0, 0), Attempt(1_000.0, 0, may_have_run=False)
+        self.assertEqual(memory.keep(entry(1, 2_000.0, never), 6_000.0, 1_500.0), [1])
+        self.assertEqual(memory.keep(entry(2, 2_000.0, ran), 6_000.0, 1_500.0), [])
+        known = memory.recall("e2")
+        assert known
+        self.assertEqual((known.number, known.body), (2, b""))
+        self.assertEqual((memory.expired(6_999.0), memory.expired(7_000.0)), ([], [2]))
+        self.assertIsNone(memory.recall("e2"))
+        self.assertEqual([memory.keep(entry(n, 9_000.0 + n, ran), 0.0, 0.0) for n in (3, 4, 5)], [[], [], [3]])
+        memory.forget("e4")
+        self.assertEqual((len(memory), memory.expired(99_999.0)), (1, [5]))
+
+    def test_health(self) -> None:
+        for body, serving, said in ((b"", True, b"\x08\x01"), (frame(b""), False, b"\x08\x02"),
+                                    (frame(b"\x0a\x03a.B"), True, b"\x08\x01"), (frame(b"\x0a\x03a.C"), True, None),
+                                    (frame(b"\x0a\xff"), True, b"\x08\x01")):
+            self.assertEqual(answer(body, {"a.B"}, serving), said)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_operator_file.py
+++ b/tests/test_operator_file.py
@@ -48,7 +48,7 @@
         out = 'log lines-per-s=1'
         cases = [
             ("tracing", "tracing: no way out is named"),
-            ("tracin {\n}", "tracin: there is no such node here (known: logs, tracing); did you mean tracing?"),
+            ("tracin {\n}", "tracin: there is no such node here (known: grpc, logs, tracing); did you mean tracing?"),
             ("tracing {\nlog lines-per-s=0\n}",
              "tracing > log: lines-per-s must be a number from 0.01 to 10000, not 0"),
             (f"tracing {{\n{out}\nsample ordinary=2\n}}",
@@ -74,6 +74,32 @@
                 self.read(text)
             self.assertIn(complaint, str(caught.exception))
 
+    def test_grpc_routes_are_checked(self) -> None:
+        good = ('grpc listen="127.0.0.1:0" {\n route "a.B" "C" class="x" dest=7 requests="many"\n'
+                ' route "a.B" class="y" dest-metadata="Dest"\n endpoints flavor="f" also="http"\n}')
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "o.kdl"
+
+            def read(text: str) -> Operator:
+                path.write_text(text)
+                return load(path, ("x", "y"))
+
+            told = read(good).grpc
+            assert told
+            self.assertEqual([(r.method, r.class_index, r.dest, r.dest_key, r.streams) for r in told.routes],
+                [("C", 0, 7, "", True), ("*", 1, None, "dest", False)])
+            self.assertEqual([told.speaks("s", flavor, 1) for flavor in ("f", "g")], [3, 1])
+            for old, new, complaint in (
+                    ('class="x"', 'class="z"', "grpc > route: class must be one of x, y, not 'z'"),
+                    ('dest=7', 'dest=7 dest-metadata="d"', "it needs either dest=NUMBER or dest-metadata=KEY"),
+                    ('"C"', '"*"', "there are two routes for /a.B/*"),
+                    (' flavor="f"', '', "it needs an id, a flavor or a dest"),
+                    ('127.0.0.1:0', 'here', "grpc: listen: the address must be HOST:PORT, not 'here'"),
+                    ('requests="many"', 'requests="some"', "requests must be one of one, many, not 'some'")):
+                with self.subTest(new=new), self.assertRaises(ConfigError) as caught:
+                    read(good.replace(old, new))
+                self.assertIn(complaint, str(caught.exception))
+
     def test_all_that_is_wrong_is_told_at_once(self) -> None:
         with self.assertRaises(ConfigError) as caught:
             self.read('logs format="x"\ntracing {\nsample ordinary=2 strata=0\nnope\n}')
--- a/tests/test_relay_rules.py
+++ b/tests/test_relay_rules.py
@@ -17,9 +17,9 @@
 from calicohitch.config import Address
 from calicohitch.interface import Outcome
 from calicohitch.journal import End, Entry, Journal
-from calicohitch.net.endpoints import Call, Endpoints, Result
+from calicohitch.core.seam import Call, Refusal, Result, Submission
+from calicohitch.net.endpoints import Endpoints
 from calicohitch.net.http import Link, Request, listen
-from calicohitch.net.relay import Refusal, Submission
 
 
 def in_world(test: Callable[..., Awaitable[None]]) -> Callable[[unittest.TestCase], None]:
--- a/tests/tracing/test_hops.py
+++ b/tests/tracing/test_hops.py
@@ -21,7 +21,7 @@
 
 from calicohitch.journal import Entry, Journal
 from calicohitch.net.http import ClientConnection
-from calicohitch.net.relay import Submission
+from calicohitch.core.seam import Submission
 from calicohitch.tracing import otlp
 from calicohitch.tracing.ledger import Ledger
 from calicohitch.tracing.sampling import Cause
@@ -292,8 +292,8 @@
 
     def test_off_imports_nothing_of_it(self) -> None:
         code = ("import sys, calicohitch.commands.serve\n"
-                "print([m for m in sys.modules if 'tracing' in m or 'opentelemetry' in m or m in "
-                "('ckdl', 'zstandard', 'google.protobuf')])")
+                "print([m for m in sys.modules if 'tracing' in m or 'opentelemetry' in m or 'grpc' in m or m in "
+                "('ckdl', 'zstandard', 'google.protobuf', 'h2', 'calicohitch.wire')])")
         done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True)
         self.assertEqual(done.stdout.strip(), "[]", done.stderr)
 
--- a/tests/tracing/test_spans.py
+++ b/tests/tracing/test_spans.py
@@ -26,7 +26,7 @@
     """Taken at 1000, told to wait until 1400, held by a slot until 1500, tried, cut, tried again."""
     facts = Facts("a1", "scores", 7, 1_000.0, CONTEXT, b"parentid", deadline=9_000.0, aim_at=2_000.0, body_size=5)
     facts.journal_ms = 2.0
-    facts.hold(1_002.0, None)
+    facts.hold(1_002.0)
     facts.release(1_500.0)
     first = AttemptFacts(1_500.0, cut=True, earlier_life=True)
     second = AttemptFacts(2_100.0, "s-1", "127.0.0.1:80", 1, Marks(2_101.0, False, 2_102.0, 2_190.0, 200),
@@ -112,7 +112,7 @@
         facts = Facts("a1", "scores", 7, taken, CONTEXT)
         timeline = Timeline()
         for since, until in holds:
-            facts.hold(since, None)
+            facts.hold(since)
             timeline.note(since, Hold.SLOT, 0.0)
             timeline.note(until, Hold.PACE, 0.0)
             facts.release(until)
@@ -132,7 +132,7 @@
     def test_facts_and_timelines_are_bounded(self) -> None:
         facts, timeline = Facts("a1", "scores", 7, 0.0, CONTEXT), Timeline()
         for n in range(1_000):
-            facts.hold(n, None)
+            facts.hold(n + 0.001)
             facts.release(n + 0.5)
             timeline.note(n, Hold.SLOT if n % 2 else Hold.PACE, 0.0)
         self.assertEqual((len(facts.holds), facts.holds_left_out), (MOST_HOLDS, 1_000 - MOST_HOLDS))
