Keep HTTP/2 connections whole when a sender is cancelled, and close them by their reader

Two faults, found by a load of HTTP/1.1 and gRPC together. A sender that was cancelled while the kernel was full lost the rest of a frame that h2 had already given out, and with it the connection for everyone: what the kernel has not taken now stays with the connection, and whoever sends next goes on. And a connection was closed while its reader still waited on the descriptor, whose number could be another socket's by then: close now ends the reader, which closes.

--- a/benchmarks/parties.py
+++ b/benchmarks/parties.py
@@ -30,10 +30,11 @@
 }
 
 # The platform's side runs in a process of its own, so that its CPU is not the relay's. argv: the share of calls
-# that fail at destination 8, and whether destination 7 hangs for 1.6 of every 10 s; its ports are printed.
+# that fail at destination 8, and whether destination 7 hangs for 1.6 of every 10 s; its ports are printed. A third
+# argument names the port of a gRPC endpoint, which becomes destination 9.
 PLATFORM = '''
 import asyncio, json, sys, time
-FAIL, HANGS = float(sys.argv[1]), sys.argv[2] == "1"
+FAIL, HANGS, GRPC = float(sys.argv[1]), sys.argv[2] == "1", int(sys.argv[3])
 calls = {7: 0, 8: 0}
 late = 0
 async def read(reader):
@@ -80,6 +81,8 @@
     LIST = {"revision": 1, "complete": True, "members": [
         {"id": "s-%d" % d, "host_port": "127.0.0.1:%d" % ports[d - 6], "locality": "a", "flavor": "x", "cell": d,
          "phase": "Ready", "size": 900.0, "up_since_ms": 0} for d in (7, 8)]}
+    if GRPC:
+        LIST["members"].append(LIST["members"][0] | {"id": "g", "cell": 9, "host_port": "127.0.0.1:%d" % GRPC})
     print(*ports, flush=True)
     await asyncio.Event().wait()
 asyncio.run(main())
@@ -94,8 +97,8 @@
 class Platform:
     """Discovery, and the endpoints of destinations 7 and 8."""
 
-    def __init__(self, fail: float = 0.0, hangs: bool = False) -> None:
-        command = [sys.executable, "-c", PLATFORM, str(fail), str(int(hangs))]
+    def __init__(self, fail: float = 0.0, hangs: bool = False, grpc_port: int = 0) -> None:
+        command = [sys.executable, "-c", PLATFORM, str(fail), str(int(hangs)), str(grpc_port)]
         self.process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
         assert self.process.stdout
         self.discovery, *_ = map(int, self.process.stdout.readline().split())
--- a/calicohitch/net/http.py
+++ b/calicohitch/net/http.py
@@ -11,6 +11,7 @@
 import socket
 from collections import Counter
 from collections.abc import Callable, Iterable
+from contextlib import suppress
 from dataclasses import dataclass
 from http import HTTPStatus
 
@@ -92,6 +93,16 @@
             except BlockingIOError:
                 await anyio.wait_writable(self._sock)
 
+    def send_some(self, data: bytes | bytearray) -> int:
+        """So many bytes the kernel takes at once; 0 where it takes none now."""
+        try:
+            return self._sock.send(data)
+        except BlockingIOError:
+            return 0
+
+    async def wait_writable(self) -> None:
+        await anyio.wait_writable(self._sock)
+
     def is_quiet(self) -> bool:
         """Open, as far as this side has been told, with nothing unread."""
         try:
@@ -111,6 +122,11 @@
         except OSError:
             return True
 
+    def shut_down(self) -> None:
+        """Ends every wait on the connection, of whichever task; `close` is still due."""
+        with suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
+
     def end_sending(self) -> None:
         self._sock.shutdown(socket.SHUT_WR)
 
--- a/calicohitch/wire/http2.py
+++ b/calicohitch/wire/http2.py
@@ -26,6 +26,8 @@
 
 Headers = Sequence[tuple[bytes, bytes]]
 Codes = h2.errors.ErrorCodes
+_MOST_UNSENT = 2 << 20
+_LAST_WORD_S = 0.1  # for a reset to reach a peer that may not be reading
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,7 +125,8 @@
         if not over:
             self.reset = StreamReset(code, text="given up here")
             self._connection.reset(self, code)
-            await self._connection.flush()
+            with anyio.move_on_after(_LAST_WORD_S):
+                await self._connection.flush()
         self._connection.forget(self)
         self._tell()
 
@@ -164,6 +167,8 @@
         self.streams: dict[int, Http2Stream] = {}
         self._conduct = Conduct()
         self._lock = anyio.Lock()
+        self._out = bytearray()  # what the kernel has not taken yet
+        self._reading = anyio.CancelScope()
         self.gone = False  # nothing can be sent any more
         self.draining = False  # no new streams, by a GOAWAY of either side
         self.fault: str = ""  # what the peer broke
@@ -190,27 +195,9 @@
 
     async def run(self) -> None:
         """Read until the connection ends; every stream hears of that."""
-        last_words = Codes.CONNECT_ERROR
         try:
-            while not self.gone:
-                data = await self._link.receive()
-                if not data:
-                    break
-                try:
-                    events = self.state.receive_data(data)
-                except h2.exceptions.ProtocolError as err:
-                    self.fault = f"{type(err).__name__}: {err}"[:200]
-                    await self._last_flush()
-                    break
-                if any(isinstance(event, h2.events.ConnectionTerminated) for event in events):
-                    self._reopen()  # before the events that came with it are acted upon
-                for event in events:
-                    self._handle(event)
-                if self.fault:
-                    self.state.close_connection(Codes.ENHANCE_YOUR_CALM, self.fault.encode()[:100])
-                    await self._last_flush()
-                    break
-                await self.flush()
+            with self._reading:
+                await self._read()
         except OSError:
             pass
         except h2.exceptions.ProtocolError as err:  # this side's state and the peer's have parted
@@ -218,9 +205,36 @@
         finally:
             self.gone = self.draining = True
             for stream in list(self.streams.values()):
-                self._break(stream, StreamReset(last_words, text=self.fault or "the connection broke"))
+                self._break(stream, StreamReset(Codes.CONNECT_ERROR, text=self.fault or "the connection broke"))
             self.streams.clear()
-            self._link.close()
+            # Guards against a descriptor that is closed while a sender still waits on it: the number may be another
+            # socket's by then. The shutdown ends such a wait.
+            self._link.shut_down()
+            with anyio.CancelScope(shield=True):
+                async with self._lock:
+                    self._link.close()
+
+    async def _read(self) -> None:
+        """Until the peer ends the connection, or breaks its rules."""
+        while not self.gone:
+            data = await self._link.receive()
+            if not data:
+                break
+            try:
+                events = self.state.receive_data(data)
+            except h2.exceptions.ProtocolError as err:
+                self.fault = f"{type(err).__name__}: {err}"[:200]
+                await self._last_flush()
+                break
+            if any(isinstance(event, h2.events.ConnectionTerminated) for event in events):
+                self._reopen()  # before the events that came with it are acted upon
+            for event in events:
+                self._handle(event)
+            if self.fault:
+                self.state.close_connection(Codes.ENHANCE_YOUR_CALM, self.fault.encode()[:100])
+                await self._last_flush()
+                break
+            await self.flush()
 
     async def _last_flush(self) -> None:
         with anyio.move_on_after(0.5):
@@ -229,13 +243,22 @@
     async def flush(self) -> None:
         """Hand to the kernel what is ready, in order; waits while the peer does not read."""
         async with self._lock:
-            while data := self.state.data_to_send(self._limits.frame * 4):
-                if self.gone:
+            while True:
+                self._out += self.state.data_to_send()
+                if self.gone or not self._out:
                     return
                 try:
-                    await self._link.send(data)
+                    # Guards the connection against a sender that is cancelled in the middle of a frame: what the
+                    # kernel has not taken stays here for whoever sends next.
+                    if sent := self._link.send_some(self._out):
+                        del self._out[:sent]
+                    elif len(self._out) > _MOST_UNSENT:
+                        raise ConnectionResetError("the peer does not read what it makes this side answer")
+                    else:
+                        await self._link.wait_writable()
                 except OSError:
                     self.gone = self.draining = True
+                    self._reading.cancel()
                     return
 
     async def goaway(self) -> None:
@@ -256,7 +279,7 @@
         self.gone = self.draining = True
         for stream in list(self.streams.values()):
             self._break(stream, StreamReset(Codes.CANCEL, text="the connection is closed"))
-        self._link.close()
+        self._reading.cancel()  # `run` closes the socket: only who waits on it may
 
     async def taken(self, stream: Http2Stream, size: int) -> None:
         if stream.reset or self.gone or not size:
