--- a/calicohitch/tracing/context.py
+++ b/calicohitch/tracing/context.py
@@ -10,7 +10,11 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
-from hashlib import blake2b
+
+try:  # hashlib loads OpenSSL as well, half a megabyte, for a function that it takes from here
+    from _blake2 import blake2b
+except ImportError:
+    from hashlib import blake2b
 
 SAMPLED, RANDOM = 0x01, 0x02
 _KNOWN_FLAGS = SAMPLED | RANDOM
@@ -119,7 +123,7 @@
 
 def derived(seed: bytes, what: str, size: int) -> bytes:
     """An id of `size` bytes that every life and every relay derives alike; never all-zero."""
-    made = blake2b(what.encode(), key=seed[:64], digest_size=size, person=b"calicohitch").digest()
+    made: bytes = blake2b(what.encode(), key=seed[:64], digest_size=size, person=b"calicohitch").digest()
     return made if any(made) else b"\x01".rjust(size, b"\0")
 
 
--- a/calicohitch/wire/http2.py
+++ b/calicohitch/wire/http2.py
@@ -63,6 +63,7 @@
         self._room = anyio.Event()  # set when sending may go on
         self.remote_ended = self.local_ended = False
         self.reset: StreamReset | None = None
+        self.owed = 0  # bytes of its window that were taken and are not given back yet
 
     def _tell(self) -> None:
         self._news.set()
@@ -167,6 +168,7 @@
         self.streams: dict[int, Http2Stream] = {}
         self._conduct = Conduct()
         self._lock = anyio.Lock()
+        self._owed = 0  # bytes of the connection's window that are not given back yet
         self._out = bytearray()  # what the kernel has not taken yet
         self._reading = anyio.CancelScope()
         self.gone = False  # nothing can be sent any more
@@ -282,10 +284,12 @@
         self._reading.cancel()  # `run` closes the socket: only who waits on it may
 
     async def taken(self, stream: Http2Stream, size: int) -> None:
-        if stream.reset or self.gone or not size:
-            return
+        stream.owed += size
+        if stream.reset or self.gone or stream.owed < self._limits.stream_window // 2:
+            return  # guards the CPU: half a window at a time keeps the peer going, with a frame for many
+        owed, stream.owed = stream.owed, 0
         try:
-            self.state.increment_flow_control_window(size, stream.number)
+            self.state.increment_flow_control_window(owed, stream.number)
         except (h2.exceptions.StreamClosedError, h2.exceptions.ProtocolError):
             return
         await self.flush()
@@ -360,8 +364,10 @@
 
     def _data(self, event: h2.events.DataReceived) -> None:
         size, data = event.flow_controlled_length or 0, event.data or b""
-        if size:
-            self.state.increment_flow_control_window(size)  # the connection's: a slow reader stalls its stream alone
+        self._owed += size  # the connection's window is given back whoever reads: a slow reader stalls its stream alone
+        if self._owed >= self._limits.connection_window // 2:
+            owed, self._owed = self._owed, 0
+            self.state.increment_flow_control_window(owed)
         if len(data) < TINY and event.stream_ended is None:
             self._count(Act.EMPTY)
         stream = self.streams.get(event.stream_id or 0)
--- a/tests/grpc_/test_passing.py
+++ b/tests/grpc_/test_passing.py
@@ -121,6 +121,16 @@
 
         with_endpoint(handle, test)
 
+    def test_an_empty_stream(self) -> None:
+        async def test(world: World, relay: Any, client: Client, endpoint: Endpoint) -> None:
+            def chat() -> list[bytes]:
+                return list(client.method("Chat", "stream_stream")(iter([]), timeout=5))
+
+            self.assertEqual(await client.run(chat), [])
+            self.assertEqual(len(endpoint.calls), 1)
+
+        with_endpoint(echo, test)
+
     def test_compressed_messages_pass_as_they_are(self) -> None:
         async def test(world: World, relay: Any, client: Client, endpoint: Endpoint) -> None:
             def call() -> bytes:
@@ -135,6 +145,9 @@
         async def test(world: World, relay: Any, client: Client, endpoint: Endpoint) -> None:
             err = await client.call("Nowhere")
             self.assertEqual(err.code(), grpc.StatusCode.UNIMPLEMENTED)
+            no_service = client.channel.unary_unary("/grpc.testing.UnimplementedService/Call", None, None)
+            error = await client.run(lambda: no_service.future(b"", timeout=5).exception())
+            self.assertEqual(error.code(), grpc.StatusCode.UNIMPLEMENTED)
             err = await client.call("Anywhere")
             self.assertEqual(err.code(), grpc.StatusCode.INVALID_ARGUMENT)
             answer, _ = await client.call("Anywhere", dest="7")
@@ -175,6 +188,11 @@
                 time.sleep(0.01)
 
         async def test(world: World, relay: Any, client: Client, endpoint: Endpoint) -> None:
+            begun = client.method("Upload", "stream_unary").future(iter([b"x"]), timeout=10)
+            await until(lambda: active)
+            begun.cancel()
+            await until(lambda: not active[0].is_active() and relay.idle)
+            active.clear()
             future = client.method("Watch", "unary_stream")(b"x", timeout=10)
             await client.run(lambda: next(future))
             future.cancel()
