Drop what nothing calls, and let one piece serve where two did the same

Unused: Tracer.not_taken, Http2Stream.quiet, the delivery's report fields, a parameter of the tables. Doubled: the search for a group's first error, the wake of senders, and the loop of Link.send beside send_some. Behaviour as it was; the whole suite, lint and types pass.

--- a/calicohitch/commands/traces.py
+++ b/calicohitch/commands/traces.py
@@ -80,7 +80,7 @@
                  str(m.root.told("calicohitch.attempts")),
                  " ".join(f"{hands} {ms:.0f}" for hands, ms in asking.by_hands(m).items() if ms >= 1)]
                 for m in messages]
-        click.echo(_table(["ms", "id", "class", "dest", "end", "attempts", "in whose hands, ms"], rows, "r"))
+        click.echo(_table(["ms", "id", "class", "dest", "end", "attempts", "in whose hands, ms"], rows))
     return _status(messages)
 
 
@@ -103,7 +103,7 @@
         click.echo(f"{len(messages)} traces that stand for {weight:.0f} messages")
         click.echo(_table(["share", "what", "in whose hands", "messages", "mean ms", "worst ms", "worst"],
             [[f"{r.ms / total:.1%}", r.what, r.hands, f"{r.messages:.0f}", f"{r.ms / r.messages:.0f}",
-              f"{r.worst_ms:.0f}", r.worst_id] for r in rows], "r"))
+              f"{r.worst_ms:.0f}", r.worst_id] for r in rows]))
         for relay, counts in found.counts.items():
             told_counts = ", ".join(f"{name.removeprefix('calicohitch.')} {n}" for name, n in counts.items())
             click.echo(f"{relay or 'a relay'} counted: {told_counts or 'nothing'}")
@@ -130,11 +130,11 @@
     }
 
 
-def _table(head: Sequence[str], rows: Sequence[Sequence[str]], first: str) -> str:
+def _table(head: Sequence[str], rows: Sequence[Sequence[str]]) -> str:
     widths = [max(len(row[n]) for row in [head, *rows]) for n in range(len(head))]
     lines = []
     for row in [head, *rows]:
-        cells = [cell.rjust(width) if n == 0 and first == "r" else cell.ljust(width)
+        cells = [cell.rjust(width) if n == 0 else cell.ljust(width)
                  for n, (cell, width) in enumerate(zip(row, widths, strict=True))]
         lines.append("  ".join(cells).rstrip())
     return "\n".join(lines)
--- a/calicohitch/grpc/delivery.py
+++ b/calicohitch/grpc/delivery.py
@@ -17,20 +17,18 @@
 from ..wire.http2 import Codes, Headers, Http2Connection, Http2Limits, Http2Stream, StreamReset
 from .codec import CodecError, Deframer, decode_binary, metadata, timeout
 from .codec import trailers as plain_trailers
-from .pipe import Answer, Pipe
+from .pipe import Answer, Pipe, first_of
 from .status import Status, meaning, of_http, read_pushback, read_retry_info, read_status
 
 _IDLE_MS = 60_000.0
 _LOOK_S = 0.25
-_OWN = (b"req-id", b"idempotency-key")
 
 
 class GrpcDelivery:
     """The HTTP/2 connections to all endpoints that speak gRPC."""
 
-    def __init__(self, clock: Clock, connect_ms: float, most: int, message: int, fields: tuple[str, ...] = ()) -> None:
+    def __init__(self, clock: Clock, connect_ms: float, most: int, message: int) -> None:
         self._clock, self._connect_s, self._most, self._message = clock, connect_ms / 1e3, most, message
-        self._fields = fields
         self._limits = Http2Limits()
         self._pools: dict[tuple[int, Address], list[Http2Connection]] = {}
         self._connecting: dict[tuple[int, Address], anyio.Lock] = {}
@@ -152,9 +150,9 @@
                 result = await self._answer(stream, timer)
                 tasks.cancel_scope.cancel()
         except* StreamReset as group:
-            result = self._reset(_first(group))
+            result = self._reset(first_of(group))
         except* CodecError as group:
-            error = _first(group)
+            error = first_of(group)
             outcome = Outcome.RESET if self.may_have_run else Outcome.ERROR
             result = self.ended(Result(outcome), getattr(error, "status", Status.INTERNAL), str(error))
         if result is None:
@@ -236,10 +234,3 @@
             return self.ended(Result(Outcome.CONNECT_FAILED, stale=True), Status.UNAVAILABLE, "the connection drains")
         outcome = Outcome.RESET if self.may_have_run else Outcome.CONNECT_FAILED
         return self.ended(Result(outcome), Status.UNAVAILABLE, f"the endpoint broke the call off: {error}")
-
-
-def _first(group: BaseExceptionGroup[BaseException]) -> BaseException:
-    error: BaseException = group
-    while isinstance(error, BaseExceptionGroup):
-        error = error.exceptions[0]
-    return error
--- a/calicohitch/grpc/intake.py
+++ b/calicohitch/grpc/intake.py
@@ -18,7 +18,7 @@
 from .codec import CodecError, frame, read_request, trailers, trailers_only
 from .health import answer as health_answer
 from .health import is_health
-from .pipe import Answer, Pipe
+from .pipe import Answer, Pipe, first_of
 from .routes import Routed, Routes
 from .settings import GrpcSettings
 from .status import Status
@@ -174,9 +174,7 @@
                 await waiting.came.wait()
                 tasks.cancel_scope.cancel()
         except* (StreamReset, CodecError) as group:
-            broken = group
-            while isinstance(broken, BaseExceptionGroup):
-                broken = broken.exceptions[0]
+            broken = first_of(group)
         finally:
             if waiting.end is None:
                 pipe.cancel()
@@ -247,5 +245,3 @@
                 said = fresh
                 await stream.send(frame(said if said is not None else b"\x08\x03"))
         await stream.send_headers(trailers(Status.OK), end=True)
-
-
--- a/calicohitch/grpc/pipe.py
+++ b/calicohitch/grpc/pipe.py
@@ -13,8 +13,8 @@
 
 import anyio
 
-from ..wire.http2 import Http2Stream, StreamReset
-from .codec import CodecError, Deframer, Headers, Request, metadata
+from ..wire.http2 import Http2Stream
+from .codec import Deframer, Headers, Request, metadata
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,4 +112,9 @@
         await self.stream.send(data)
 
 
-__all__ = ["Answer", "CodecError", "Pipe", "StreamReset"]
+def first_of(group: BaseExceptionGroup[BaseException]) -> BaseException:
+    """The first error in a group of groups: of the tasks of one call, the one that ended the others."""
+    error: BaseException = group
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
--- a/calicohitch/net/http.py
+++ b/calicohitch/net/http.py
@@ -88,12 +88,12 @@
         """Returns once the last byte is handed to the kernel."""
         left = memoryview(data)
         while left:
-            try:
-                left = left[self._sock.send(left) :]
-            except BlockingIOError:
-                await anyio.wait_writable(self._sock)
+            if sent := self.send_some(left):
+                left = left[sent:]
+            else:
+                await self.wait_writable()
 
-    def send_some(self, data: bytes | bytearray) -> int:
+    def send_some(self, data: bytes | bytearray | memoryview) -> int:
         """So many bytes the kernel takes at once; 0 where it takes none now."""
         try:
             return self._sock.send(data)
--- a/calicohitch/tracing/tracer.py
+++ b/calicohitch/tracing/tracer.py
@@ -141,12 +141,6 @@
         facts.journal_ms = self._clock.now() - facts.taken_at
         self._dests.setdefault(facts.dest, _Dest()).live += 1
 
-    def not_taken(self, number: int, why: str) -> None:
-        """The journal did not take it, after `taking`."""
-        facts = self._live.pop(number)
-        facts.end, facts.refusal, facts.decided_at = End.TURNED_AWAY, why, self._clock.now()
-        self._finish(facts)
-
     def turned_away(
         self, wire_id: str, class_index: int, dest: int, headers: Headers, key: str | None, why: str, again: bool
     ) -> None:
--- a/calicohitch/wire/http2.py
+++ b/calicohitch/wire/http2.py
@@ -68,6 +68,9 @@
     def _tell(self) -> None:
         self._news.set()
         self._news = anyio.Event()
+        self._may_send()
+
+    def _may_send(self) -> None:
         self._room.set()
         self._room = anyio.Event()
 
@@ -137,11 +140,6 @@
         if self._connection.gone:
             raise StreamReset(Codes.CONNECT_ERROR, text="the connection is gone")
 
-    @property
-    def quiet(self) -> bool:
-        """Nothing waits to be taken."""
-        return not self._chunks
-
 
 class Http2Connection:
     """One connection. `run` reads it until it ends; `on_stream` is called for each stream that a client opens."""
@@ -290,14 +288,14 @@
         owed, stream.owed = stream.owed, 0
         try:
             self.state.increment_flow_control_window(owed, stream.number)
-        except (h2.exceptions.StreamClosedError, h2.exceptions.ProtocolError):
+        except h2.exceptions.ProtocolError:
             return
         await self.flush()
 
     def reset(self, stream: Http2Stream, code: int) -> None:
         try:
             self.state.reset_stream(stream.number, code)
-        except (h2.exceptions.StreamClosedError, h2.exceptions.ProtocolError):
+        except h2.exceptions.ProtocolError:
             pass
 
     def forget(self, stream: Http2Stream) -> None:
@@ -341,8 +339,7 @@
                 if isinstance(event, h2.events.RemoteSettingsChanged):
                     self._count(Act.SETTINGS)
                 for stream in list(self.streams.values()):
-                    stream._room.set()
-                    stream._room = anyio.Event()
+                    stream._may_send()
             case h2.events.PingReceived():
                 self._count(Act.PING)
             case h2.events.ConnectionTerminated():
