Answer common requests without a task; close connections that are kept in vain where seats are scarce

Ruled out: CPU (0.5 of 0.85), the loop's lag (5 ms), the backlog (room was always made).

Clients now wait in one epoll without a task or a parser. The common request is read at once in front of h11, equal to it under a differential fuzz, and answered on the spot; the rest goes to h11 and a task as before. Where half of the seats are taken and kept connections were seldom used again lately, a connection ends with its answer.

--- a/calicohitch/core/seam.py
+++ b/calicohitch/core/seam.py
@@ -29,6 +29,7 @@
     STARTING = "the relay is starting"
     STOPPING = "the relay is stopping"
     FULL = "no room for another message"
+    BUSY = "too much work at once"
     LEFT = "the client has left"
     NO_KEY = "a message of this class needs a key"
     UNKNOWN = "no endpoint is known for the destination"
--- /dev/null
+++ b/calicohitch/intake/clients.py
@@ -0,0 +1,388 @@
+"""The HTTP server that clients hand messages in to.
+
+Connections wait in one epoll of their own, without a task and without a parser, whatever their number. What comes on
+one is read at once, and the common request (see `head`) is answered on the spot. Only an uncommon one, or one whose
+answer the kernel does not take whole, gets a task, and h11.
+"""
+
+from __future__ import annotations
+
+import select
+import socket
+from collections.abc import Callable
+from contextlib import suppress
+
+import anyio
+import h11
+from anyio.abc import TaskGroup
+from loguru import logger
+
+from ..core.seam import Refusal, Submission
+from ..net.http import Ambiguous, BodyTooLarge, Link, Request, ServerConnection
+from ..net.relay import Relay
+from ..wire.news import News
+from .admission.keeping import Keeping
+from .head import Common, Look, answer, read
+from .seats import Seat, Seats
+from .submission import ACCEPTED, BadRequest, Told, read_submission, refusal
+
+_IDLE_S = 5.0  # a connection between requests
+_REQUEST_S = 2.0  # from the connect, or a later request's first byte, to the request's last
+_ROOM_S = 0.01
+_REPLY_S = 5.0
+_LINGER_S = 0.5
+_LOOK_S = 0.2  # between two looks for those whose time is up
+_READ = 64 << 10
+_ACCEPTS_A_TURN = 16  # new connections, and
+_READS_A_TURN = 16  # connections that are read, before calls and timers have their turn
+
+
+class Clients:
+    """Accepts connections and serves them; an error ends that connection only."""
+
+    def __init__(self, relay: Relay, classes: tuple[str, ...], listener: socket.socket) -> None:
+        self._relay, self._classes, self._listener = relay, classes, listener
+        self.seats = Seats()
+        self._by_fd: dict[int, Seat] = {}
+        self._poll: select.epoll | None = None
+        self._listening = self._starved = False
+        self._tasks: TaskGroup | None = None
+        self._waiting = News()  # that a seat waits with a time of its own
+        self._answering = 0
+        self._keeping = Keeping()
+
+    @property
+    def answering(self) -> int:
+        """Requests that have begun and are not answered yet."""
+        return self._answering + sum(1 for line in (self.seats.fresh, self.seats.begun) for seat in line
+                                     if seat.data or seat.scope)
+
+    async def run(self) -> None:
+        poll = self._poll = select.epoll()
+        try:
+            async with anyio.create_task_group() as tasks:
+                self._tasks = tasks
+                tasks.start_soon(self._end_overdue)
+                self._listen(True)
+                while True:
+                    await anyio.wait_readable(poll)
+                    self._turn(poll.poll(0, _READS_A_TURN + 1))
+        finally:
+            for seat in list(self._by_fd.values()):
+                seat.sock.close()
+            poll.close()
+
+    def _listen(self, on: bool) -> None:
+        """Whether new connections are looked for; they wait in the backlog while they are not."""
+        assert self._poll
+        if on != self._listening:
+            self._listening = on
+            if on:
+                self._poll.register(self._listener, select.EPOLLIN)
+            else:
+                self._poll.unregister(self._listener)
+
+    def _turn(self, events: list[tuple[int, int]]) -> None:
+        """What came: requests first, then new connections."""
+        listener = self._listener.fileno()
+        for fd, _ in events:
+            if fd != listener and (seat := self._by_fd.get(fd)):
+                self._guarded(seat)
+        if any(fd == listener for fd, _ in events):
+            self._accept()
+
+    def _guarded(self, seat: Seat) -> None:
+        try:
+            self._read(seat)
+        except Exception:  # guards all other connections against a fault in the handling of one
+            logger.exception("a client's connection broke off")
+            self._close(seat)
+
+    # Coming and going.
+
+    def _accept(self) -> None:
+        for _ in range(_ACCEPTS_A_TURN):
+            if self.seats.count >= self._relay.max_clients and not self._make_room():
+                self._pause()
+                return
+            try:
+                sock, address = self._listener.accept()
+            except BlockingIOError:
+                return
+            except OSError as err:  # no descriptor is free, or the client left while it waited
+                if not self._starved:
+                    logger.warning("accept: {}", err)
+                self._starved = True
+                self._make_room()
+                self._pause()
+                return
+            self._starved = False
+            self._enter(sock, address[0] if isinstance(address, tuple) else "")
+
+    def _pause(self) -> None:
+        """Look for new connections again a little later: there is no room for one now."""
+        async def listen_again() -> None:
+            await anyio.sleep(_ROOM_S)
+            self._listen(True)
+
+        assert self._tasks
+        self._listen(False)
+        self._tasks.start_soon(listen_again)
+
+    def _enter(self, sock: socket.socket, source: str) -> None:
+        sock.setblocking(False)
+        now = anyio.current_time()
+        seat = Seat(sock, source, now, deadline=now + _REQUEST_S)
+        self.seats.count += 1
+        self.seats.fresh[seat] = None
+        self._guarded(seat)  # most have sent their request by now
+        if not seat.gone and not seat.scope:
+            self._wait(seat)
+
+    def _wait(self, seat: Seat) -> None:
+        assert self._poll
+        self._by_fd[seat.sock.fileno()] = seat
+        self._poll.register(seat.sock, select.EPOLLIN)
+        self._waiting.tell()
+
+    def _leave(self, seat: Seat) -> None:
+        """Its socket is no longer waited for here, and stays open."""
+        if self._by_fd.pop(seat.sock.fileno(), None) and self._poll:
+            self._poll.unregister(seat.sock)
+
+    def _close(self, seat: Seat) -> None:
+        if not seat.gone:
+            seat.gone = True
+            self.seats.count -= 1
+            if seat.handed_in and seat in self.seats.kept:
+                self._keeping.did_not()
+            self.seats.leave_line(seat)
+            if seat.scope:
+                seat.scope.cancel()  # its task closes the socket
+            else:
+                self._by_fd.pop(seat.sock.fileno(), None)
+                seat.sock.close()  # which the poll notices by itself
+
+    def _make_room(self) -> bool:
+        """Close one connection that is owed no answer."""
+        seat = self.seats.to_shed(anyio.current_time())
+        if seat:
+            self._close(seat)
+        return seat is not None
+
+    def close_waiting(self) -> None:
+        """Close the connections that have no request under way."""
+        for seat in [*self.seats.fresh, *self.seats.kept]:
+            if seat.is_silent():
+                self._close(seat)
+
+    async def _end_overdue(self) -> None:
+        while True:
+            due = self.seats.next_due()
+            if due is None:
+                await self._waiting.wait()
+                continue
+            await anyio.sleep(min(max(due - anyio.current_time(), 0.02), _LOOK_S))
+            for seat in self.seats.due(anyio.current_time()):
+                if seat.scope:
+                    self.seats.leave_line(seat)  # its task has the same time, and a word to say
+                elif seat.data:
+                    self._hand_over(seat, late=True)
+                else:
+                    self._close(seat)
+
+    # The common request.
+
+    def _read(self, seat: Seat) -> None:
+        try:
+            data = seat.sock.recv(_READ)
+        except BlockingIOError:
+            return
+        except OSError:
+            data = b""
+        if not data:
+            if seat.data:
+                self._hand_over(seat, ended=True)
+            else:
+                self._close(seat)
+            return
+        if not seat.data and not seat.first:  # a later request begins
+            if seat.handed_in:
+                self._keeping.came_again()
+            self.seats.leave_line(seat)
+            seat.deadline = anyio.current_time() + _REQUEST_S
+        seat.data += data
+        found = read(seat.data)
+        if isinstance(found, Common):
+            self.seats.leave_line(seat)
+            seat.data = b""
+            self._answer_now(seat, found)
+        elif found is Look.UNCOMMON:
+            self._hand_over(seat)
+        elif not seat.first:
+            self.seats.begun[seat] = None
+
+    def _answer_now(self, seat: Seat, found: Common) -> None:
+        told, number, submission = self._decide(found.request, seat.has_ended)
+        seat.handed_in = number is not None
+        close = told.close or found.close or not self._keep_alive(number)
+        data = answer(told.status, told.headers, told.body, close)
+        try:
+            sent = seat.sock.send(data)
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            sent = -1
+        if sent < 0:
+            if number is not None:
+                self._relay.withdraw(number)
+            self._close(seat)
+        elif sent < len(data):
+            self._leave(seat)
+            assert self._tasks
+            self._answering += 1
+            seat.scope = anyio.CancelScope()
+            self._tasks.start_soon(self._finish, seat, data[sent:], number, submission, close)
+        else:
+            if number is not None and submission:
+                self._relay.accept(number, submission)
+            if close:
+                self._close(seat)
+            else:
+                self._keep(seat)
+
+    def _keep_alive(self, number: int | None) -> bool:
+        """Whether a connection is kept behind an answer, to a message that was taken on where there is a number."""
+        return not self._relay.stopping and (
+            number is None or self._keeping.keep(self.seats.count, self._relay.max_clients))
+
+    def _keep(self, seat: Seat) -> None:
+        """It is answered, and may come again."""
+        if seat.gone:
+            return
+        seat.first = False
+        seat.since = anyio.current_time()
+        seat.deadline = seat.since + _IDLE_S
+        self.seats.kept[seat] = None
+        self._waiting.tell()
+
+    def _decide(self, request: Request, has_ended: Callable[[], bool]) -> tuple[Told, int | None, Submission | None]:
+        """What a request that was read whole is answered; and the message that is accepted once it was."""
+        if request.method == "GET" and request.path in ("/health/ready", "/health/live"):
+            serving = self._relay.ready and not self._relay.stopping
+            return Told(200 if serving or request.path == "/health/live" else 503, []), None, None
+        try:
+            told = read_submission(request, self._classes)
+        except BadRequest as err:
+            return Told(err.status, [], str(err).encode(), close=True), None, None
+        # A client that ended its sending has left, and may hand the message in elsewhere by now; should it
+        # listen still, a refusal is harmless.
+        number = Refusal.LEFT if has_ended() else self._relay.take(told)
+        return (refusal(number), None, None) if isinstance(number, Refusal) else (ACCEPTED, number, told)
+
+    # What takes a task.
+
+    async def _finish(
+        self, seat: Seat, rest: bytes, number: int | None, submission: Submission | None, close: bool
+    ) -> None:
+        """The part of an answer that the kernel did not take at once."""
+        told = False
+        try:
+            assert seat.scope
+            with seat.scope, anyio.move_on_after(_REPLY_S):
+                await Link(seat.sock).send(rest)
+                told = True
+        except OSError as err:
+            logger.debug("a client's connection ended: {}", err)
+        finally:
+            self._answering -= 1
+            seat.scope = None
+            if number is not None and not told:
+                self._relay.withdraw(number)
+            if told and not close and not seat.gone:
+                self._return(seat)
+            else:
+                self._close(seat)
+                seat.sock.close()
+        if told and number is not None and submission:
+            self._relay.accept(number, submission)
+
+    def _return(self, seat: Seat) -> None:
+        self._wait(seat)
+        self._keep(seat)
+
+    def _hand_over(self, seat: Seat, late: bool = False, ended: bool = False) -> None:
+        """Give a request that is uncommon, or that does not end, to h11 and a task."""
+        assert self._tasks
+        self._leave(seat)
+        seat.scope = anyio.CancelScope()
+        if late or ended:
+            self.seats.leave_line(seat)
+        elif not seat.first:
+            self.seats.begun[seat] = None
+        self._tasks.start_soon(self._serve, seat, late, ended)
+
+    async def _serve(self, seat: Seat, late: bool, ended: bool) -> None:
+        keep = False
+        connection = ServerConnection(Link(seat.sock))
+        data, seat.data = seat.data, b""
+        try:
+            connection.feed(data)
+            if ended:
+                connection.feed(b"")
+            assert seat.scope
+            with seat.scope:
+                keep = await self._one_request(seat, connection, late)
+        except (OSError, h11.ProtocolError) as err:
+            logger.debug("a client's connection ended: {}", err)
+        except Exception:
+            logger.exception("a client's connection broke off")
+        finally:
+            self.seats.leave_line(seat)
+            seat.scope = None
+            if keep and not seat.gone:
+                self._return(seat)
+            else:
+                self._close(seat)
+                seat.sock.close()
+
+    async def _one_request(self, seat: Seat, connection: ServerConnection, late: bool) -> bool:
+        """Answer one request; False when the connection is to be closed."""
+        try:
+            if late:
+                raise TimeoutError
+            with anyio.fail_after(seat.deadline - anyio.current_time()):
+                request = await connection.request()
+        except h11.RemoteProtocolError as err:
+            return await self._turn_away(connection, err.error_status_hint, "the request cannot be read")
+        except Ambiguous as err:
+            return await self._turn_away(connection, 400, str(err))
+        except BodyTooLarge:
+            return await self._turn_away(connection, 413, "a body holds 64 KiB at most")
+        except TimeoutError:
+            return await self._turn_away(connection, 408, "the request took too long")
+        if request is None:
+            return False
+        self.seats.leave_line(seat)
+        self._answering += 1
+        told, number, submission = self._decide(request, connection.client_left)
+        seat.handed_in = number is not None
+        try:
+            with anyio.fail_after(_REPLY_S):
+                await connection.respond(told.status, told.headers, told.body, told.close)
+        except BaseException:
+            if number is not None:
+                self._relay.withdraw(number)
+            raise
+        finally:
+            self._answering -= 1
+        if number is not None and submission:
+            self._relay.accept(number, submission)
+        return not told.close and connection.next() and not self._relay.stopping
+
+    async def _turn_away(self, connection: ServerConnection, status: int, text: str) -> bool:
+        """Answer what was not read to its end, and close."""
+        with anyio.move_on_after(_LINGER_S), suppress(OSError):
+            await connection.respond(status, body=text.encode(), close=True)
+            await connection.linger()
+        return False
--- /dev/null
+++ b/calicohitch/intake/seats.py
@@ -0,0 +1,82 @@
+"""The connections of clients: what is kept of each while it waits, and who has to make room. No waiting here."""
+
+from __future__ import annotations
+
+import socket
+from dataclasses import dataclass, field
+
+import anyio
+
+PATIENCE_S = 0.3  # a client that has just connected has this long before it has to make room
+
+
+@dataclass(eq=False, slots=True)
+class Seat:
+    """One client's connection. `since` is when it was accepted, or last answered; times in the loop's seconds."""
+
+    sock: socket.socket
+    source: str
+    since: float
+    first: bool = True  # no request of it was answered yet
+    handed_in: bool = False  # its last request was a message that was taken on
+    data: bytes = b""  # the beginning of a request
+    deadline: float = 0.0  # of the request that has begun, or of the wait for one
+    scope: anyio.CancelScope | None = None  # of the task that reads an uncommon request
+    gone: bool = False
+
+    def is_silent(self) -> bool:
+        """It is owed nothing: no part of a request has come."""
+        if self.data or self.scope:
+            return False
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return True
+        return self.has_ended()
+
+    def has_ended(self) -> bool:
+        """The client has closed the connection, or its sending on it."""
+        try:
+            return not self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
+
+@dataclass(slots=True)
+class Seats:
+    """Every connection, in lines by when its time is up: each line's waits are of one length, so the first of a line
+    is the first that is due. A seat stands in one line, or in none while it is being answered."""
+
+    fresh: dict[Seat, None] = field(default_factory=dict)  # without a whole request so far
+    kept: dict[Seat, None] = field(default_factory=dict)  # between requests
+    begun: dict[Seat, None] = field(default_factory=dict)  # a later request has begun
+    count: int = 0
+
+    def leave_line(self, seat: Seat) -> None:
+        for line in (self.fresh, self.kept, self.begun):
+            line.pop(seat, None)
+
+    def due(self, now: float) -> list[Seat]:
+        """Those whose time is up."""
+        found = []
+        for line in (self.fresh, self.kept, self.begun):
+            for seat in line:
+                if seat.deadline > now:
+                    break
+                found.append(seat)
+        return found
+
+    def next_due(self) -> float | None:
+        return min((next(iter(line)).deadline for line in (self.fresh, self.kept, self.begun) if line), default=None)
+
+    def to_shed(self, now: float) -> Seat | None:
+        """Who makes room: the longest without a whole request, if it had time; else the longest between requests,
+        whose client comes again at no harm; else any that is silent."""
+        oldest = next(iter(self.fresh), None)
+        if oldest and now - oldest.since >= PATIENCE_S:
+            return oldest
+        return next((seat for line in (self.kept, self.fresh) for seat in line if seat.is_silent()), None)
--- a/calicohitch/net/http.py
+++ b/calicohitch/net/http.py
@@ -127,6 +127,10 @@
         with suppress(OSError):
             self._sock.shutdown(socket.SHUT_RDWR)
 
+    def detach(self) -> socket.socket:
+        """The socket, for another to use and close."""
+        return self._sock
+
     def end_sending(self) -> None:
         self._sock.shutdown(socket.SHUT_WR)
 
@@ -290,6 +294,10 @@
         self._link = link
         self._http = h11.Connection(h11.SERVER)
 
+    def feed(self, data: bytes) -> None:
+        """What was read from the connection before this had it."""
+        self._http.receive_data(data)
+
     def client_left(self) -> bool:
         return self._link.has_ended()
 
--- a/calicohitch/service.py
+++ b/calicohitch/service.py
@@ -15,7 +15,7 @@
 from .config import Config
 from .config.operator import Operator
 from .journal import Journal
-from .net.clients import Clients
+from .intake.clients import Clients
 from .net.http import listen
 from .net.relay import Relay
 
--- /dev/null
+++ b/tests/intake/test_head.py
@@ -0,0 +1,112 @@
+"""The common request is read as h11 reads it, or left to h11."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+import h11
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from calicohitch.intake.head import LONGEST_HEAD, Common, Look, answer, read
+from calicohitch.net.http import MAX_BODY
+
+USUAL = (b"POST /orders HTTP/1.1\r\nHost: r\r\nReq-Id: a1\r\nReq-Deadline-Ms: 5000\r\nIdempotency-Key: k\r\n"
+         b"Content-Length: 4\r\nEnvelope: dest=7\r\n\r\nbody")
+
+
+def by_h11(data: bytes) -> tuple[Any, ...] | str:
+    """What h11 makes of the bytes: the one whole request, or a word on why there is none."""
+    connection = h11.Connection(h11.SERVER)
+    head, body = None, b""
+    try:
+        connection.receive_data(data)
+        while not isinstance(event := connection.next_event(), h11.EndOfMessage):
+            if event is h11.NEED_DATA:
+                return "short"
+            if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+                return "over"
+            if isinstance(event, h11.Request):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += bytes(event.data)
+    except h11.RemoteProtocolError:
+        return "broken"
+    assert head is not None
+    if connection.trailing_data[0]:
+        return "more"
+    connection.send(h11.Response(status_code=200, headers=[(b"content-length", b"0")]))
+    connection.send(h11.EndOfMessage())
+    return head.method, head.target, list(head.headers), body, connection.our_state is h11.MUST_CLOSE
+
+
+def as_h11(found: Common) -> tuple[Any, ...]:
+    request = found.request
+    target = request.path.encode() + (b"?" + request.query.encode() if request.query else b"")
+    return request.method.encode(), target, list(request.raw), request.body, found.close
+
+
+PIECES = st.sampled_from([b"\r\n", b"\n", b"\r", b":", b" ", b"\t", b"\0", b"\x80", b"?", b"", b"0", b"5", b"-",
+    b"HTTP/1.0", b"GET", b"PUT", b"Connection: close\r\n", b"connection: Keep-Alive\r\n", b"Connection: close, x\r\n",
+    b"Host: s\r\n",
+    b"Transfer-Encoding: chunked\r\n", b"Expect: 100-continue\r\n", b"X: y\r\n", b"X:\r\n", b" folded\r\n", b"\r\n\r\n",
+    b"Content-Length: 4\r\n", b"Content-Length: 04\r\n", b"Content-Length: +4\r\n"])
+
+
+@st.composite
+def requests(draw: Any) -> bytes:
+    """The usual one with a few cuts and insertions, most of them in its lines' places."""
+    data = USUAL
+    for _ in range(draw(st.integers(0, 3))):
+        ends = [n + 2 for n in range(len(data)) if data[n : n + 2] == b"\r\n"]
+        at = draw(st.sampled_from(ends) if ends and draw(st.booleans()) else st.integers(0, len(data)))
+        data = data[:at] + draw(PIECES | st.binary(max_size=3)) + data[at + draw(st.integers(0, 3)) :]
+    return data[: draw(st.integers(0, len(data)))] if draw(st.integers(0, 9)) == 0 else data
+
+
+class Heads(unittest.TestCase):
+    @settings(max_examples=2_000, deadline=None, derandomize=True)
+    @given(requests())
+    def test_what_is_read_here_h11_reads_alike(self, data: bytes) -> None:
+        found, told = read(data), by_h11(data)
+        if isinstance(found, Common):
+            self.assertEqual(as_h11(found), told)
+        elif found is Look.SHORT:  # h11 waits as well, or its word comes once the time for a request is over
+            self.assertIn(told, ("short", "broken"))
+
+    def test_the_usual_ones_are_common_and_the_odd_ones_are_left(self) -> None:
+        common = [USUAL, b"GET /health/ready HTTP/1.1\r\nHost: r\r\n\r\n",
+                  USUAL.replace(b"Host", b"Connection: close\r\nHost"),
+                  USUAL.replace(b"/orders", b"/orders?a=1"), USUAL.replace(b"Host: r", b"hOST:\t r \t")]
+        for data in common:
+            with self.subTest(data=data):
+                found = read(data)
+                assert isinstance(found, Common)
+                self.assertEqual(as_h11(found), by_h11(data))
+                self.assertIs(read(data[:-1]), Look.SHORT)
+        odd = [USUAL + b"x", USUAL.replace(b"Host: r\r\n", b""), USUAL.replace(b"HTTP/1.1", b"HTTP/1.0"),
+               USUAL.replace(b"Host", b"Expect: 100-continue\r\nHost"), b"PUT" + USUAL[4:], b"\r\n" + USUAL,
+               USUAL.replace(b"Host", b"Req-Id: a2\r\nHost"), USUAL.replace(b"length: 4", b"Length: 65537"),
+               USUAL.replace(b"Length: 4", b"Length: %d" % (MAX_BODY + 1)), USUAL.replace(b"r\r\n", b"r\n", 1),
+               b"POST /" + b"a" * LONGEST_HEAD, USUAL.replace(b"a1", b"a\xe91")]
+        for data in odd:
+            with self.subTest(data=data[:80]):
+                if data != USUAL:
+                    self.assertIs(read(data), Look.UNCOMMON)
+
+    def test_answers_are_those_that_h11_would_write(self) -> None:
+        for status, headers, body, close in ((202, [], b"", False), (503, [(b"Retry-After", b"1")], b"busy", True)):
+            connection = h11.Connection(h11.SERVER)
+            connection.receive_data(b"GET / HTTP/1.1\r\nHost: r\r\n\r\n")
+            connection.next_event()
+            from http import HTTPStatus
+
+            told = [*headers, (b"Content-Length", b"%d" % len(body)), *([(b"Connection", b"close")] if close else [])]
+            parts = [connection.send(h11.Response(status_code=status, headers=told, reason=HTTPStatus(status).phrase)),
+                     connection.send(h11.Data(data=body)), connection.send(h11.EndOfMessage())]
+            self.assertEqual(answer(status, headers, body, close), b"".join(part for part in parts if part))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/parties/grpc_world.py
+++ b/tests/parties/grpc_world.py
@@ -113,7 +113,7 @@
         world.client = Address(*listener.getsockname())
         intake = GrpcIntake(relay, told, config.settings.classes, front, world.clock)
         async with anyio.create_task_group() as tasks:
-            from calicohitch.net.clients import Clients
+            from calicohitch.intake.clients import Clients
 
             tasks.start_soon(relay.run)
             tasks.start_soon(Clients(relay, config.names.classes, listener).run)
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -14,7 +14,7 @@
 from calicohitch.config import Address, ConfigError, load, parse, reload
 from calicohitch.interface import ListKind, Phase
 from calicohitch.journal import End
-from calicohitch.net.clients import BadRequest, read_submission
+from calicohitch.intake.submission import BadRequest, read_submission
 from calicohitch.net.discovery import Directory, ListError
 from calicohitch.net.endpoints import read_report, read_wait
 from calicohitch.net.http import Request
--- a/tests/world.py
+++ b/tests/world.py
@@ -14,7 +14,7 @@
 from calicohitch.clock import Clock
 from calicohitch.config import Address, Config, parse
 from calicohitch.journal import Journal
-from calicohitch.net.clients import Clients
+from calicohitch.intake.clients import Clients
 from calicohitch.net.http import ClientConnection, Link, Request, Response, ServerConnection, listen
 from calicohitch.net.relay import Relay
 
