Admission: fair shares by source, known clients, delay as the measure of load, a spare descriptor

Connections are let in by caps of open and new ones by address or prefix, which operators set; conduct (messages taken on beside connections made) frees gateways of good clients and makes sources known, whose seats are shed last and of whom a share of the seats can be set aside. Requests are read by turns of their sources. Where timers run late or requests stand too long, PIE turns the delay into a share of messages that is refused at once. Without a descriptor a kept spare one answers 503. The log says who was shed and why, and calicohitch clients sums it up.

--- a/calicohitch/commands/__init__.py
+++ b/calicohitch/commands/__init__.py
@@ -12,6 +12,7 @@
     "serve": "run the relay that NODE_CONFIG and the other NODE_ variables describe",
     "check-config": "read that configuration, say what is wrong with it, and end",
     "traces": "look into exported traces: show, slow, why",
+    "clients": "tell from a log who was shed, and why",
     "version": "print the version",
 }
 
--- a/calicohitch/config/operator.py
+++ b/calicohitch/config/operator.py
@@ -13,6 +13,7 @@
 
 if TYPE_CHECKING:
     from ..grpc.settings import GrpcSettings
+    from ..intake.admission.settings import AdmissionSettings
     from ..tracing.settings import TracingSettings
     from . import kdl
 
@@ -32,6 +33,7 @@
     logs: LogSettings = LogSettings()
     tracing: TracingSettings | None = None
     grpc: GrpcSettings | None = None
+    clients: AdmissionSettings | None = None
 
 
 LEVELS = ("TRACE", "DEBUG", "INFO", "SUCCESS", "WARNING", "ERROR", "CRITICAL")
@@ -50,7 +52,9 @@
         node.done()
     node = root.child("tracing")
     grpc = root.child("grpc")
-    operator = Operator(logs, _tracing(node, path.parent) if node else None, _grpc(grpc, classes) if grpc else None)
+    clients = root.child("clients")
+    operator = Operator(logs, _tracing(node, path.parent) if node else None, _grpc(grpc, classes) if grpc else None,
+        _clients(clients) if clients else None)
     root.done()
     if problems:
         listed = "".join(f"\n  {problem}" for problem in problems)
@@ -149,6 +153,43 @@
     return settings
 
 
+def _clients(node: kdl.Node) -> AdmissionSettings:
+    from ipaddress import ip_network
+
+    from ..intake.admission.load import LoadLimits
+    from ..intake.admission.settings import AdmissionSettings
+    from ..intake.admission.shares import Caps, Trusted
+
+    usual, caps, limits = AdmissionSettings(), Caps(), LoadLimits()
+    if told := node.child("sources"):
+        trusted = []
+        for named in told.children("trust"):
+            network = named.parsed("network", named.argument("network"), ip_network)
+            each = named.whole("each", 0, 0, 1_000_000)
+            if network:
+                trusted.append(Trusted(network, each))
+            named.done()
+        caps = Caps(
+            each=told.whole("each", caps.each, 0, 1_000_000),
+            new_per_s=float(told.number("new-per-s", caps.new_per_s, 0, 1_000_000)),
+            reserve=float(told.number("reserve", caps.reserve, 0, 0.9)),
+            v4_bits=told.whole("v4-bits", caps.v4_bits, 1, 32),
+            v6_bits=told.whole("v6-bits", caps.v6_bits, 1, 128),
+            sources=told.whole("table", caps.sources, 16, 1_000_000),
+            trusted=tuple(trusted))
+        told.done()
+    if told := node.child("load"):
+        limits = LoadLimits(
+            target_ms=float(told.number("target-ms", limits.target_ms, 1, 10_000)),
+            too_late_ms=float(told.number("too-late-ms", limits.too_late_ms, 10, 60_000)))
+        told.done()
+    settings = AdmissionSettings(caps, limits,
+        backlog=node.whole("backlog", usual.backlog, 1, 65_535),
+        told_every_s=float(node.number("told-every-s", usual.told_every_s, 0.1, 3_600)))
+    node.done()
+    return settings
+
+
 def _collector_url(text: str) -> tuple[Address, str]:
     """Address and path of an OTLP endpoint. Hosts are numeric: the relay makes no name look-ups."""
     from urllib.parse import urlsplit
--- a/calicohitch/grpc/pipe.py
+++ b/calicohitch/grpc/pipe.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 
 from ..wire.http2 import Http2Stream
-from ..wire.news import News
+from ..core.news import News
 from .codec import Deframer, Headers, Request, metadata
 
 
--- a/calicohitch/intake/clients.py
+++ b/calicohitch/intake/clients.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import errno
+import os
 import select
 import socket
 from collections.abc import Callable
@@ -20,8 +22,13 @@
 from ..core.seam import Refusal, Submission
 from ..net.http import Ambiguous, BodyTooLarge, Link, Request, ServerConnection
 from ..net.relay import Relay
-from ..wire.news import News
+from ..core.news import News
+from .admission.account import Account
 from .admission.keeping import Keeping
+from .admission.load import Load
+from .admission.queue import FairQueue
+from .admission.settings import AdmissionSettings
+from .admission.shares import Shares, Verdict
 from .head import Common, Look, answer, read
 from .seats import Seat, Seats
 from .submission import ACCEPTED, BadRequest, Told, read_submission, refusal
@@ -35,14 +42,31 @@
 _READ = 64 << 10
 _ACCEPTS_A_TURN = 16  # new connections, and
 _READS_A_TURN = 16  # connections that are read, before calls and timers have their turn
+_EVENTS_A_TURN = 64  # that are taken into the fair queue
+_BUSY_TICK_S, _CALM_TICK_S = 0.05, 0.5  # between two measurements of how late the loop is
+_NO_ROOM = answer(503, [(b"Retry-After", b"1")], b"no room for another connection", close=True)
 
 
 class Clients:
     """Accepts connections and serves them; an error ends that connection only."""
 
-    def __init__(self, relay: Relay, classes: tuple[str, ...], listener: socket.socket) -> None:
+    def __init__(
+        self,
+        relay: Relay,
+        classes: tuple[str, ...],
+        listener: socket.socket,
+        admission: AdmissionSettings | None = None,
+        seed: int = 0,
+    ) -> None:
         self._relay, self._classes, self._listener = relay, classes, listener
+        self._set = admission or AdmissionSettings()
         self.seats = Seats()
+        self.shares = Shares(self._set.caps, relay.max_clients)
+        self.account = Account()
+        self._load = Load(self._set.load, seed)
+        self._ready: FairQueue[Seat] = FairQueue()
+        self._busy = False  # something came since the loop's lateness was last measured
+        self._spare = -1  # a descriptor that is kept for a word to those for whom there is none
         self._by_fd: dict[int, Seat] = {}
         self._poll: select.epoll | None = None
         self._listening = self._starved = False
@@ -59,18 +83,26 @@
 
     async def run(self) -> None:
         poll = self._poll = select.epoll()
+        self._spare = os.open(os.devnull, os.O_RDONLY | os.O_CLOEXEC)
         try:
             async with anyio.create_task_group() as tasks:
                 self._tasks = tasks
                 tasks.start_soon(self._end_overdue)
+                tasks.start_soon(self._measure)
+                tasks.start_soon(self._tell)
                 self._listen(True)
                 while True:
-                    await anyio.wait_readable(poll)
-                    self._turn(poll.poll(0, _READS_A_TURN + 1))
+                    if len(self._ready):
+                        await anyio.sleep(0)  # calls and timers have their turn
+                    else:
+                        await anyio.wait_readable(poll)
+                    self._turn(poll.poll(0, _EVENTS_A_TURN) if len(self._ready) < _EVENTS_A_TURN else [])
         finally:
             for seat in list(self._by_fd.values()):
                 seat.sock.close()
             poll.close()
+            if self._spare >= 0:
+                os.close(self._spare)
 
     def _listen(self, on: bool) -> None:
         """Whether new connections are looked for; they wait in the backlog while they are not."""
@@ -83,17 +115,44 @@
                 self._poll.unregister(self._listener)
 
     def _turn(self, events: list[tuple[int, int]]) -> None:
-        """What came: requests first, then new connections."""
-        listener = self._listener.fileno()
+        """What came: requests first, one of each source after the other, then new connections."""
+        listener, now, connecting = self._listener.fileno(), anyio.current_time(), False
+        self._busy = True
         for fd, _ in events:
-            if fd != listener and (seat := self._by_fd.get(fd)):
-                self._guarded(seat)
-        if any(fd == listener for fd, _ in events):
+            if fd == listener:
+                connecting = True
+            elif (seat := self._by_fd.get(fd)) and not seat.queued:
+                seat.queued = True
+                self._ready.put(seat.source, seat, now)
+        for seat, since in self._ready.take(_READS_A_TURN):
+            seat.queued = False
+            if not seat.gone and not seat.scope:
+                self._guarded(seat, (now - since) * 1e3)
+        if connecting:
             self._accept()
 
-    def _guarded(self, seat: Seat) -> None:
+    async def _measure(self) -> None:
+        """How late the loop is, by a clock of its own: what came waits at least as long."""
+        while True:
+            tick = _BUSY_TICK_S if self._busy else _CALM_TICK_S
+            self._busy = False
+            due = anyio.current_time() + tick
+            await anyio.sleep(tick)
+            now = anyio.current_time()
+            self._load.measured(now * 1e3, (now - due) * 1e3)
+
+    async def _tell(self) -> None:
+        """Say now and then who was shed, and why."""
+        while True:
+            await anyio.sleep(self._set.told_every_s)
+            if told := self.account.told():
+                logger.bind(event="clients.shed", seats=self.seats.count, **told).info(
+                    "clients: {} were shed or refused: {}", sum(told["causes"].values()),  # type: ignore[attr-defined]
+                    ", ".join(f"{count} {cause}" for cause, count in told["causes"].items()))  # type: ignore[attr-defined]
+
+    def _guarded(self, seat: Seat, waited_ms: float = 0.0) -> None:
         try:
-            self._read(seat)
+            self._read(seat, waited_ms)
         except Exception:  # guards all other connections against a fault in the handling of one
             logger.exception("a client's connection broke off")
             self._close(seat)
@@ -113,12 +172,39 @@
                 if not self._starved:
                     logger.warning("accept: {}", err)
                 self._starved = True
+                if err.errno in (errno.EMFILE, errno.ENFILE):
+                    self._refuse_by_spare()
                 self._make_room()
                 self._pause()
                 return
             self._starved = False
             self._enter(sock, address[0] if isinstance(address, tuple) else "")
 
+    def _refuse_by_spare(self) -> None:
+        """No descriptor is left: the spare one serves to tell whoever waits to come again, and is taken back."""
+        if self._spare >= 0:
+            os.close(self._spare)
+            self._spare = -1
+            try:
+                sock, address = self._listener.accept()
+                sock.setblocking(False)
+                self._turn_off(sock, address[0] if isinstance(address, tuple) else "", "no descriptor was left")
+            except OSError:
+                pass  # another took it, or the client left
+        try:
+            self._spare = os.open(os.devnull, os.O_RDONLY | os.O_CLOEXEC)
+        except OSError:
+            pass  # tried again the next time
+
+    def _turn_off(self, sock: socket.socket, source: str, cause: str) -> None:
+        """A connection that is not let in hears so, and when to come again."""
+        self.account.shed(cause, source)
+        with suppress(OSError), sock:
+            with suppress(BlockingIOError):
+                sock.recv(_READ)  # what is unread would reset the connection, and take the answer with it
+            sock.send(_NO_ROOM)
+            sock.shutdown(socket.SHUT_WR)
+
     def _pause(self) -> None:
         """Look for new connections again a little later: there is no room for one now."""
         async def listen_again() -> None:
@@ -132,6 +218,11 @@
     def _enter(self, sock: socket.socket, source: str) -> None:
         sock.setblocking(False)
         now = anyio.current_time()
+        verdict, source = self.shares.enter(source, now * 1e3)
+        if verdict is not Verdict.ENTER:
+            self._turn_off(sock, source, verdict.value)
+            return
+        self.account.accepted += 1
         seat = Seat(sock, source, now, deadline=now + _REQUEST_S)
         self.seats.count += 1
         self.seats.fresh[seat] = None
@@ -154,6 +245,7 @@
         if not seat.gone:
             seat.gone = True
             self.seats.count -= 1
+            self.shares.leave(seat.source)
             if seat.handed_in and seat in self.seats.kept:
                 self._keeping.did_not()
             self.seats.leave_line(seat)
@@ -165,8 +257,12 @@
 
     def _make_room(self) -> bool:
         """Close one connection that is owed no answer."""
-        seat = self.seats.to_shed(anyio.current_time())
+        now = anyio.current_time()
+        seat = self.seats.to_shed(now, self.shares.weight, lambda source: self.shares.known(source, now * 1e3))
         if seat:
+            cause = ("began a request and did not end it" if seat.data or seat.scope else
+                     "said nothing" if seat.first else "idle between requests")
+            self.account.shed(f"made room: {cause}", seat.source)
             self._close(seat)
         return seat is not None
 
@@ -184,6 +280,8 @@
                 continue
             await anyio.sleep(min(max(due - anyio.current_time(), 0.02), _LOOK_S))
             for seat in self.seats.due(anyio.current_time()):
+                if seat.first or seat.data or seat.scope:
+                    self.account.shed("out of time without a whole request", seat.source)
                 if seat.scope:
                     self.seats.leave_line(seat)  # its task has the same time, and a word to say
                 elif seat.data:
@@ -193,7 +291,7 @@
 
     # The common request.
 
-    def _read(self, seat: Seat) -> None:
+    def _read(self, seat: Seat, waited_ms: float) -> None:
         try:
             data = seat.sock.recv(_READ)
         except BlockingIOError:
@@ -216,14 +314,14 @@
         if isinstance(found, Common):
             self.seats.leave_line(seat)
             seat.data = b""
-            self._answer_now(seat, found)
+            self._answer_now(seat, found, waited_ms)
         elif found is Look.UNCOMMON:
             self._hand_over(seat)
         elif not seat.first:
             self.seats.begun[seat] = None
 
-    def _answer_now(self, seat: Seat, found: Common) -> None:
-        told, number, submission = self._decide(found.request, seat.has_ended)
+    def _answer_now(self, seat: Seat, found: Common, waited_ms: float) -> None:
+        told, number, submission = self._decide(seat, found.request, seat.has_ended, waited_ms)
         seat.handed_in = number is not None
         close = told.close or found.close or not self._keep_alive(number)
         data = answer(told.status, told.headers, told.body, close)
@@ -266,7 +364,9 @@
         self.seats.kept[seat] = None
         self._waiting.tell()
 
-    def _decide(self, request: Request, has_ended: Callable[[], bool]) -> tuple[Told, int | None, Submission | None]:
+    def _decide(
+        self, seat: Seat, request: Request, has_ended: Callable[[], bool], waited_ms: float = 0.0
+    ) -> tuple[Told, int | None, Submission | None]:
         """What a request that was read whole is answered; and the message that is accepted once it was."""
         if request.method == "GET" and request.path in ("/health/ready", "/health/live"):
             serving = self._relay.ready and not self._relay.stopping
@@ -277,8 +377,21 @@
             return Told(err.status, [], str(err).encode(), close=True), None, None
         # A client that ended its sending has left, and may hand the message in elsewhere by now; should it
         # listen still, a refusal is harmless.
-        number = Refusal.LEFT if has_ended() else self._relay.take(told)
-        return (refusal(number), None, None) if isinstance(number, Refusal) else (ACCEPTED, number, told)
+        now = anyio.current_time() * 1e3
+        if waited_ms:
+            self._load.measured(now, waited_ms)
+        if has_ended():
+            number: int | Refusal = Refusal.LEFT
+        elif not self._load.admits(self.shares.known(seat.source, now), waited_ms):
+            number = Refusal.BUSY
+        else:
+            number = self._relay.take(told)
+        if isinstance(number, Refusal):
+            if number is not Refusal.TAKEN:
+                self.account.shed(number.value, seat.source)
+            return refusal(number), None, None
+        self.shares.took_on(seat.source, now)
+        return ACCEPTED, number, told
 
     # What takes a task.
 
@@ -365,7 +478,7 @@
             return False
         self.seats.leave_line(seat)
         self._answering += 1
-        told, number, submission = self._decide(request, connection.client_left)
+        told, number, submission = self._decide(seat, request, connection.client_left)
         seat.handed_in = number is not None
         try:
             with anyio.fail_after(_REPLY_S):
--- a/calicohitch/intake/seats.py
+++ b/calicohitch/intake/seats.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import socket
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from itertools import islice
 
 import anyio
 
+_MOST_COMPARED = 32  # of those who could make room
 PATIENCE_S = 0.3  # a client that has just connected has this long before it has to make room
 
 
@@ -18,6 +21,7 @@
     source: str
     since: float
     first: bool = True  # no request of it was answered yet
+    queued: bool = False  # something came, and its turn to be read is yet to come
     handed_in: bool = False  # its last request was a message that was taken on
     data: bytes = b""  # the beginning of a request
     deadline: float = 0.0  # of the request that has begun, or of the wait for one
@@ -73,10 +77,14 @@
     def next_due(self) -> float | None:
         return min((next(iter(line)).deadline for line in (self.fresh, self.kept, self.begun) if line), default=None)
 
-    def to_shed(self, now: float) -> Seat | None:
-        """Who makes room: the longest without a whole request, if it had time; else the longest between requests,
-        whose client comes again at no harm; else any that is silent."""
-        oldest = next(iter(self.fresh), None)
-        if oldest and now - oldest.since >= PATIENCE_S:
-            return oldest
-        return next((seat for line in (self.kept, self.fresh) for seat in line if seat.is_silent()), None)
+    def to_shed(self, now: float, weight: Callable[[str], float], known: Callable[[str], bool]) -> Seat | None:
+        """Who makes room: one without a whole request that had time for it, of the source with the greatest weight,
+        and of those the oldest; else the longest between requests, whose client comes again at no harm; else any that
+        is silent. Of the last two strangers go first."""
+        late = [seat for seat in islice(self.fresh, _MOST_COMPARED) if now - seat.since >= PATIENCE_S]
+        if late:
+            return max(late, key=lambda seat: weight(seat.source))
+        strangers = (seat for line in (self.kept, self.fresh) for seat in islice(line, _MOST_COMPARED)
+                     if not known(seat.source))
+        anyone = (seat for line in (self.kept, self.fresh) for seat in line)
+        return next((seat for seats in (strangers, anyone) for seat in seats if seat.is_silent()), None)
--- a/calicohitch/net/http.py
+++ b/calicohitch/net/http.py
@@ -19,12 +19,14 @@
 import h11
 
 from ..config import Address
+from . import answer
 
 MAX_BODY = 64 << 10
 _READ = 64 << 10
 _MAX_INTERIM = 16  # 1xx responses in front of one that counts
 _REST_S = 0.5  # from a response's head, or from a first line that says 200, to its last byte
 _FIRST_LINE = 64  # bytes of a response that are kept for the reading of its first line
+_UNSENDABLE = re.compile(rb"[\0\r\n]")
 _SAYS_200 = re.compile(rb"HTTP/1\.\d 200[ \r\n]")
 _LINGER_BYTES = 1 << 20
 
@@ -150,7 +152,8 @@
 
     def __init__(self, link: Link, max_body: int = MAX_BODY, needs_body: bool = False) -> None:
         self._link, self._max_body, self._needs_body = link, max_body, needs_body
-        self._http = h11.Connection(h11.CLIENT)
+        self._clean = True  # between requests, with nothing left of the last response
+        self._came = b""  # of a response that h11 has to read
         self._start = b""  # of the present response, after any 1xx
         self.sent = False  # whether the last byte of the present request was handed to the kernel
         self.idle_since = 0.0
@@ -165,7 +168,7 @@
     @property
     def reusable(self) -> bool:
         """Nothing is left of the last response: a second copy of it would answer the next request."""
-        return self._http.our_state is h11.IDLE and not self._http.trailing_data[0] and self._link.is_quiet()
+        return self._clean and self._link.is_quiet()
 
     @property
     def says_200(self) -> bool:
@@ -183,44 +186,67 @@
     async def request(self, method: str, target: str, headers: Headers, body: bytes = b"") -> Response:
         """The server's response. OSError where there is none, or none that can be read; a 200 is believed by
         its first line alone, unless the body is what was asked for."""
-        self.sent, self._start = False, b""
+        self.sent, self._start, self._clean = False, b"", False
         if body or method == "POST":
-            headers = [*headers, (b"Content-Length", str(len(body)).encode())]
-        parts = [self._http.send(h11.Request(method=method, target=target, headers=headers))]
-        if body:
-            parts.append(self._http.send(h11.Data(data=body)))
-        parts.append(self._http.send(h11.EndOfMessage()))
-        await self._link.send(b"".join(part for part in parts if part))
+            headers = [*headers, (b"Content-Length", b"%d" % len(body))]
+        lines = [b"%s: %s\r\n" % header for header in headers]
+        if any(_UNSENDABLE.search(line, 0, len(line) - 2) for line in lines):
+            raise ValueError("a header holds what cannot be sent in one")
+        await self._link.send(b"%s %s HTTP/1.1\r\n%s\r\n%s" % (
+            method.encode(), target.encode(), b"".join(lines), body))
         self.sent = True
         if self.progress:
             self.progress(False)
         try:
-            with anyio.CancelScope() as rest:
-                response = await self._response(rest)
-            if not rest.cancelled_caught:
-                return response
-            raise ConnectionResetError("the rest of the response did not come")
+            return await self._common_response() or await self._response(method, target, headers, body)
         except (h11.RemoteProtocolError, OSError) as err:
             if self.says_200:
                 return Response(200, {})
             raise ConnectionResetError(str(err)) from err
 
-    async def _response(self, rest: anyio.CancelScope) -> Response:
+    async def _common_response(self) -> Response | None:
+        """The response, if it comes whole and in its usual form; else what came of it is left in `_came`."""
+        self._came = data = await self._receive()
+        found = answer.read(data, self._max_body) if data else answer.Look.UNCOMMON
+        if isinstance(found, answer.Look):
+            return None
+        self._clean = True
+        return Response(*found)
+
+    async def _receive(self) -> bytes:
+        data = await self._link.receive()
+        if self.progress:
+            self.progress(True)
+        self._start += data[: _FIRST_LINE - len(self._start)]
+        return data
+
+    async def _response(self, method: str, target: str, headers: Headers, body: bytes) -> Response:
+        """The response by h11, which is told of the request as though it had sent it."""
+        http = h11.Connection(h11.CLIENT)
+        http.send(h11.Request(method=method, target=target, headers=headers))
+        if body:
+            http.send(h11.Data(data=body))
+        http.send(h11.EndOfMessage())
+        http.receive_data(self._came)
+        with anyio.CancelScope() as rest:
+            response = await self._read(http, rest)
+        if rest.cancelled_caught:
+            raise ConnectionResetError("the rest of the response did not come")
+        self._clean = (http.our_state is h11.DONE and http.their_state is h11.DONE and not http.trailing_data[0])
+        return response
+
+    async def _read(self, http: h11.Connection, rest: anyio.CancelScope) -> Response:
         """Reads a whole response; once it has begun, `rest` bounds how long that may take."""
         head: h11.Response | None = None
         body, interim = bytearray(), 0
-        while not isinstance(event := self._http.next_event(), h11.EndOfMessage):
+        while not isinstance(event := http.next_event(), h11.EndOfMessage):
             if event is h11.NEED_DATA:
                 if rest.deadline == math.inf and (head or self.says_200) and not self._needs_body:
                     rest.deadline = anyio.current_time() + _REST_S
-                data = await self._link.receive()
-                if self.progress:
-                    self.progress(True)
-                self._start += data[: _FIRST_LINE - len(self._start)]
-                self._http.receive_data(data)
+                http.receive_data(await self._receive())
             elif isinstance(event, h11.InformationalResponse):
                 interim += 1
-                self._start = self._http.trailing_data[0][:_FIRST_LINE]
+                self._start = http.trailing_data[0][:_FIRST_LINE]
             elif isinstance(event, h11.Response):
                 head = event
             elif isinstance(event, h11.Data):
@@ -229,8 +255,6 @@
                 raise ConnectionResetError("closed without a response")
             if len(body) > self._max_body or interim > _MAX_INTERIM:
                 raise ConnectionResetError("the response is too long")
-        if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
-            self._http.start_next_cycle()
         assert head is not None
         return Response(head.status_code, dict(head.headers), bytes(body))
 
--- a/calicohitch/service.py
+++ b/calicohitch/service.py
@@ -15,6 +15,7 @@
 from .config import Config
 from .config.operator import Operator
 from .journal import Journal
+from .intake.admission.settings import AdmissionSettings
 from .intake.clients import Clients
 from .net.http import listen
 from .net.relay import Relay
@@ -44,9 +45,10 @@
         relay = Relay(config, clock, journal, tracer, grpc.speaks, 2 * (config.limits.sockets // 8))
     else:
         relay = Relay(config, clock, journal, tracer)
-    with listen(config.listen) as listener, ExitStack() as stack:
+    admission = operator.clients or AdmissionSettings()
+    with listen(config.listen, admission.backlog) as listener, ExitStack() as stack:
         logger.bind(event="relay.listening").info("{} listens at {}", config.name, config.listen)
-        clients = Clients(relay, config.names.classes, listener)
+        clients = Clients(relay, config.names.classes, listener, admission, config.seed)
         calls = _grpc(relay, grpc, config, clock, stack) if grpc else None
         try:
             async with anyio.create_task_group() as tasks:
--- a/calicohitch/tracing/export/collector.py
+++ b/calicohitch/tracing/export/collector.py
@@ -12,7 +12,7 @@
 
 from ...clock import Clock
 from ...net.http import KeptConnection, Response
-from ...wire.news import News
+from ...core.news import News
 from ..otlp import proto_request, proto_spans, rejected_spans
 from ..settings import CollectorSettings
 from ..spans import Span, Value
--- a/calicohitch/tracing/export/file.py
+++ b/calicohitch/tracing/export/file.py
@@ -11,7 +11,7 @@
 from loguru import logger
 
 from ...clock import Clock
-from ...wire.news import News
+from ...core.news import News
 from ..otlp import json_line
 from ..settings import FileSettings
 from ..spans import Span, Value
--- a/calicohitch/wire/http2.py
+++ b/calicohitch/wire/http2.py
@@ -23,7 +23,7 @@
 from ..clock import Clock
 from ..net.http import Link
 from .conduct import TINY, Act, Conduct
-from .news import News
+from ..core.news import News
 
 Headers = Sequence[tuple[bytes, bytes]]
 Codes = h2.errors.ErrorCodes
--- /dev/null
+++ b/tests/intake/test_clients.py
@@ -0,0 +1,276 @@
+"""Connections under trouble, on real sockets: floods, scripts, no descriptors."""
+
+from __future__ import annotations
+
+import errno
+import json
+import os
+import resource
+import signal
+import socket
+import sys
+import unittest
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+import anyio
+from test_process import Program
+from test_relay_rules import in_world
+from world import LIMIT, World, member, until
+
+from calicohitch.commands import main
+from calicohitch.intake.admission.settings import AdmissionSettings
+from calicohitch.intake.admission.shares import Caps
+from calicohitch.journal import End
+from calicohitch.net.http import Link
+
+HEAD = "POST /orders HTTP/1.1\r\nHost: r\r\nReq-Id: {}\r\nReq-Deadline-Ms: 5000\r\nIdempotency-Key: k{}\r\n" \
+       "Envelope: dest=7\r\nContent-Length: 2\r\n\r\nhi"
+
+
+def connect(world: World, source: str) -> socket.socket:
+    sock = socket.socket()
+    sock.bind((source, 0))
+    sock.connect((world.client.host, world.client.port))
+    sock.setblocking(False)
+    return sock
+
+
+async def ask(sock: socket.socket, name: str) -> bytes:
+    """The head of the answer to one message, b"" where there is none."""
+    link = Link(sock)
+    try:
+        await link.send(HEAD.format(name, name).encode())
+        with anyio.fail_after(LIMIT):
+            return await link.receive()
+    except OSError:
+        return b""
+
+
+def cpu_s(pid: int) -> float:
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+class Scripts(unittest.TestCase):
+    @in_world
+    async def test_good_clients_behind_a_gateway_beside_a_script(self, world: World) -> None:
+        """The script holds as many connections as it is let; the gateway's clients come each on one of its own."""
+        world.admission = AdmissionSettings(Caps(each=20))
+        async with world.relay():
+            script, told = [connect(world, "127.0.0.66") for _ in range(300)], []
+            for n in range(60):
+                sock = connect(world, "127.0.0.2")
+                told.append((await ask(sock, f"g{n}"))[:12])
+                script.append(sock)  # and stays connected
+            self.assertEqual(told, [b"HTTP/1.1 202"] * 60)
+            clients = world.clients
+            self.assertEqual(clients.shares.weight("127.0.0.66"), 20)
+            self.assertEqual(clients.shares.weight("127.0.0.2"), 60)
+            self.assertEqual(clients.account.causes, {"too many open connections of its source": 280})
+            self.assertIn(b"503", Link(script[299])._sock.recv(100))  # no silent drop
+            for sock in script:
+                sock.close()
+            await until(lambda: not clients.shares.taken)
+
+    @in_world
+    async def test_a_script_behind_the_gateway_as_well(self, world: World) -> None:
+        async with world.relay() as relay:
+            relay.max_clients = 40
+            script = [connect(world, "127.0.0.2") for _ in range(200)]
+            await anyio.sleep(0.35)  # they had their patience
+            for n in range(30):
+                sock = connect(world, "127.0.0.2")
+                self.assertEqual((await ask(sock, f"g{n}"))[:12], b"HTTP/1.1 202")
+                script.append(sock)
+            self.assertLessEqual(world.clients.seats.count, 40)
+            for sock in script:
+                sock.close()
+
+    @in_world
+    async def test_connections_that_are_kept_in_vain_are_closed_behind_their_answers(self, world: World) -> None:
+        """Clients that take a new connection for each message, let the old one stand, and may hold only so many."""
+        async with world.relay() as relay:
+            relay.max_clients = 40
+            held: list[socket.socket] = []
+            closed = 0
+            for n in range(120):
+                sock = connect(world, "127.0.0.2")
+                answer = await ask(sock, f"m{n}")
+                self.assertEqual(answer[:12], b"HTTP/1.1 202")
+                closed += b"Connection: close" in answer
+                held.append(sock)
+                if len(held) > 30:  # the client closes the oldest itself
+                    held.pop(0).close()
+            self.assertGreater(closed, 25)
+            for sock in held:
+                sock.close()
+
+    @in_world
+    async def test_a_late_loop_refuses_at_once_and_takes_nothing_twice(self, world: World) -> None:
+        async with world.relay() as relay:
+            sock = connect(world, "127.0.0.2")
+            with mock.patch.object(world.clients._load, "admits", return_value=False):
+                answer = await ask(sock, "m1")
+            self.assertEqual(answer[:12], b"HTTP/1.1 503")
+            self.assertIn(b"Retry-After: 1", answer)
+            self.assertNotIn(b"Connection: close", answer)  # it may come again on the same connection
+            self.assertEqual((await ask(sock, "m1"))[:12], b"HTTP/1.1 202")
+            await until(lambda: relay.idle)
+            self.assertEqual(len(world.endpoint.requests), 1)
+            sock.close()
+
+
+class Descriptors(unittest.TestCase):
+    @in_world
+    async def test_without_a_descriptor_clients_hear_so_and_nothing_spins(self, world: World) -> None:
+        accepts = 0
+        real = socket.socket.accept
+
+        def fails(listener: socket.socket) -> Any:
+            nonlocal accepts
+            accepts += 1
+            if accepts % 2:  # the spare one serves every second time
+                raise OSError(errno.EMFILE, "Too many open files")
+            return real(listener)
+
+        async with world.relay():
+            with mock.patch("socket.socket.accept", fails):
+                links = [connect(world, "127.0.0.2") for _ in range(5)]
+                for sock in links:
+                    self.assertIn(b"503", await Link(sock).receive())
+                    sock.close()
+                seen = accepts
+                await anyio.sleep(0.1)
+                self.assertLess(accepts - seen, 30)  # it looks again now and then only
+            self.assertEqual((await world.hand_in("a1")).status, 202)
+            self.assertGreaterEqual(world.clients._spare, 0)
+
+    @in_world
+    async def test_no_descriptor_wherever_one_is_opened(self, world: World) -> None:
+        """Calls, notices and discovery all open sockets: each fails twenty times, and all come right."""
+        failing = 0
+        real = socket.socket
+
+        class Scarce(real):  # type: ignore[valid-type,misc]
+            def __init__(self, *args: Any, **kwargs: Any) -> None:
+                nonlocal failing
+                if failing and not kwargs.get("fileno"):
+                    failing -= 1
+                    raise OSError(errno.EMFILE, "Too many open files")
+                super().__init__(*args, **kwargs)
+
+        async with world.relay() as relay:
+            sock = connect(world, "127.0.0.2")
+            for place in ("call", "notice", "discovery"):
+                with self.subTest(place=place):
+                    if place == "notice":
+                        world.answers = [(500, {}, b"")] * 20  # until it is given up
+                        relay._notices._agent._close()
+                    if place == "discovery":
+                        relay._discovery._agent._close()
+                    failing = 20
+                    with mock.patch("calicohitch.net.http.socket.socket", Scarce):
+                        self.assertEqual((await ask(sock, place))[:12], b"HTTP/1.1 202")
+                        if place == "notice":
+                            relay._end(next(iter(relay._open)), End(True))
+                            await until(lambda: world.notices)
+                        if place == "discovery":
+                            world.change(member(str(world.endpoint.address)), member("127.0.0.1:9", "late", cell=9))
+                            await until(lambda: relay._directory.knows(9))
+                        failing = 0
+                    world.answers = []
+                    await until(lambda: relay.idle)
+            sock.close()
+
+    def test_at_the_limit_every_held_message_gets_its_end_and_known_clients_are_served(self) -> None:
+        @in_world
+        async def test(_: unittest.TestCase, world: World) -> None:
+            program = Program(world)
+            process = await program.start()
+            try:
+                sock = connect(world, "127.0.0.2")
+                self.assertEqual((await ask(sock, "m0"))[:12], b"HTTP/1.1 202")
+                open_now = len(os.listdir(f"/proc/{process.pid}/fd"))
+                resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (open_now + 12, open_now + 12))
+                crowd = [connect(world, f"127.0.1.{n % 250 + 1}") for n in range(120)]
+                before = cpu_s(process.pid)
+                told = [(await ask(sock, f"m{n}"))[:12] for n in range(1, 40)]
+                await anyio.sleep(1.5)
+                self.assertLess(cpu_s(process.pid) - before, 1.2)  # no accept loop spins
+                self.assertEqual(told, [b"HTTP/1.1 202"] * 39)
+                await until(lambda: len(world.endpoint.requests) + len(world.notices) >= 40)
+                for other in crowd:
+                    other.close()
+                sock.close()
+            finally:
+                process.kill()
+                process.wait()
+
+        test(self)
+
+    def test_a_stop_in_the_middle_of_a_flood_of_connects(self) -> None:
+        @in_world
+        async def test(_: unittest.TestCase, world: World) -> None:
+            world.answers = [(429, {"Wait-Ms": "700"}, b"")]
+            program = Program(world)
+            process = await program.start()
+            crowd: list[socket.socket] = []
+            try:
+                sock = connect(world, "127.0.0.2")
+                taken = 0
+                for n in range(60):
+                    taken += (await ask(sock, f"m{n}")).startswith(b"HTTP/1.1 202")
+                for n in range(300):
+                    try:
+                        crowd.append(connect(world, "127.0.0.66"))
+                    except OSError:
+                        break  # it has stopped listening
+                    if n == 150:
+                        process.send_signal(signal.SIGTERM)
+                    await anyio.sleep(0.001)
+                with anyio.fail_after(LIMIT * 2):
+                    while process.poll() is None:
+                        await anyio.sleep(0.05)
+                ended = {r.headers[b"req-id"].decode() for r in world.endpoint.requests}
+                ended |= {notice["message"] for notice in world.notices}
+                self.assertEqual((process.returncode, len(ended)), (0, taken))
+                sock.close()
+            finally:
+                process.kill()
+                process.wait()
+                for other in crowd:
+                    other.close()
+
+        test(self)
+
+
+class Telling(unittest.TestCase):
+    @in_world
+    async def test_the_command_tells_from_the_log_who_was_shed(self, world: World) -> None:
+        from calicohitch import logs
+
+        path = world.folder / "log"
+        world.admission = AdmissionSettings(Caps(each=1), told_every_s=0.1)
+        with path.open("w") as out:
+            logs.set_up("json", "INFO", out)
+            try:
+                async with world.relay():
+                    held = [connect(world, "127.0.0.66") for _ in range(5)]
+                    await until(lambda: "clients.shed" in path.read_text())
+                    for sock in held:
+                        sock.close()
+            finally:
+                logs.set_up("text", "ERROR", sys.stderr)
+        with mock.patch("click.echo") as echo:
+            self.assertEqual(main(["clients", "--json", str(path)]), 0)
+        told = json.loads(echo.call_args[0][0])
+        cause = "too many open connections of its source"
+        self.assertEqual((told["causes"][cause], told["sources"][cause]), (4, {"127.0.0.66": 4}))
+        path.write_text("no JSON\n")
+        self.assertEqual(main(["clients", str(path)]), 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/world.py
+++ b/tests/world.py
@@ -89,6 +89,7 @@
         self.folder = folder
         self.clock = Clock()
         self.client = Address("", 0)
+        self.admission: Any = None  # the operators' settings of clients' connections
 
     def config(self, **changes: Any) -> Config:
         return parse({"name": "n0", "listen": "127.0.0.1:0", "discovery": str(self.platform.address),
@@ -127,7 +128,7 @@
             self.client = Address(*listener.getsockname())
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(relay.run)
-                self.clients = Clients(relay, config.names.classes, listener)
+                self.clients = Clients(relay, config.names.classes, listener, self.admission)
                 tasks.start_soon(self.clients.run)
                 await until(lambda: relay.ready)
                 yield relay
