One ledger of descriptors for clients, calls, notices, discovery, tracing and gRPC

Each part of a relay counted its own descriptors or none. Now each connection has a lease of one budget: half for clients, one each for notices, discovery and tracing, the rest for calls, so that what delivers can always get its own; the log on who was shed tells the ledger.

--- a/benchmarks/admission.py
+++ b/benchmarks/admission.py
@@ -53,7 +53,7 @@
                 self.called.setdefault(name, time.monotonic())
                 await asyncio.sleep(0.005)
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-        except (asyncio.IncompleteReadError, ConnectionError):
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             writer.close()
 
     async def _discovery(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -69,7 +69,7 @@
                     writer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
                 else:
                     writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(told) + told)
-        except (asyncio.IncompleteReadError, ConnectionError):
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             writer.close()
 
 
--- a/benchmarks/parties.py
+++ b/benchmarks/parties.py
@@ -108,6 +108,12 @@
         self.process.wait()
 
 
+def cpu_of(pid: int) -> float:
+    """Seconds of CPU that a process has used."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS
+
+
 class RelayProcess:
     """A relay on a core of its own where there are several; what it cost is read from /proc."""
 
@@ -144,8 +150,7 @@
             return False
 
     def cpu_s(self) -> float:
-        fields = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
-        return (int(fields[11]) + int(fields[12])) / TICKS
+        return cpu_of(self.process.pid)
 
     def rss_mb(self, peak: bool = False) -> float:
         name = "VmHWM" if peak else "VmRSS"
--- a/calicohitch/intake/admission/leases.py
+++ b/calicohitch/core/leases.py
@@ -14,9 +14,25 @@
     DISCOVERY = "discovery"
     CALLS = "calls"
     TRACING = "tracing"
+    GRPC = "gRPC"
     CLIENTS = "clients"
 
 
+_FIXED = 21  # the listener, notes, the journal, the polls, and what the interpreter holds
+
+
+def shared_out(sockets: int, grpc: int = 0) -> Leases:
+    """The budget of a relay that may hold so many descriptors, of which gRPC has a part where it is on: half are for
+    clients, one each for notices, discovery and tracing, and calls have the rest."""
+    clients, others = sockets // 2, _FIXED + 3 + grpc
+    calls = max(1, sockets - clients - others)
+    kept = {Holder.RELAY: _FIXED, Holder.NOTICES: 1, Holder.DISCOVERY: 1, Holder.TRACING: 1, Holder.GRPC: grpc,
+            Holder.CALLS: calls, Holder.CLIENTS: clients}
+    leases = Leases(sum(kept.values()), kept)
+    leases.held.update({Holder.RELAY: _FIXED, Holder.GRPC: grpc})  # for good
+    return leases
+
+
 class Leases:
     """`total` descriptors. `kept` are set aside for a holder: nobody else can take them."""
 
--- a/calicohitch/intake/clients.py
+++ b/calicohitch/intake/clients.py
@@ -22,6 +22,7 @@
 from ..core.seam import Refusal, Submission
 from ..net.http import Ambiguous, BodyTooLarge, Link, Request, ServerConnection
 from ..net.relay import Relay
+from ..core.leases import Holder
 from ..core.news import News
 from .admission.account import Account
 from .admission.keeping import Keeping
@@ -146,7 +147,8 @@
         while True:
             await anyio.sleep(self._set.told_every_s)
             if told := self.account.told():
-                logger.bind(event="clients.shed", seats=self.seats.count, **told).info(
+                ledger = self._relay.leases.told()
+                logger.bind(event="clients.shed", seats=self.seats.count, ledger=ledger, **told).info(
                     "clients: {} were shed or refused: {}", sum(told["causes"].values()),  # type: ignore[attr-defined]
                     ", ".join(f"{count} {cause}" for cause, count in told["causes"].items()))  # type: ignore[attr-defined]
 
@@ -222,6 +224,10 @@
         if verdict is not Verdict.ENTER:
             self._turn_off(sock, source, verdict.value)
             return
+        if not self._relay.leases.take(Holder.CLIENTS):
+            self.shares.leave(source)
+            self._turn_off(sock, source, "no descriptor was left")
+            return
         self.account.accepted += 1
         seat = Seat(sock, source, now, deadline=now + _REQUEST_S)
         self.seats.count += 1
@@ -246,6 +252,7 @@
             seat.gone = True
             self.seats.count -= 1
             self.shares.leave(seat.source)
+            self._relay.leases.give_back(Holder.CLIENTS)
             if seat.handed_in and seat in self.seats.kept:
                 self._keeping.did_not()
             self.seats.leave_line(seat)
--- a/calicohitch/net/discovery.py
+++ b/calicohitch/net/discovery.py
@@ -14,6 +14,7 @@
 from ..config import Address, ConfigError
 from ..interface import Listed, ListKind, ListTold, Phase
 from ..config.settings import Names
+from ..core.leases import Holder, Leases
 from .http import KeptConnection
 
 # News that a lost watch held back counts as told two seconds after the watch's end: short watches find a
@@ -125,8 +126,11 @@
 class Discovery:
     """Asks for the whole list, then watches it; while discovery is silent the list stays as it is."""
 
-    def __init__(self, address: Address, directory: Directory, tell: Callable[[ListTold], None]) -> None:
-        self._agent = KeptConnection(address, _MAX_LIST, needs_body=True)
+    def __init__(
+        self, address: Address, directory: Directory, tell: Callable[[ListTold], None], leases: Leases | None = None
+    ) -> None:
+        lease = (leases, Holder.DISCOVERY) if leases else None
+        self._agent = KeptConnection(address, _MAX_LIST, needs_body=True, lease=lease)
         self._directory, self._tell = directory, tell
         self._version: int | None = None
         self._failures = 0
--- a/calicohitch/net/endpoints.py
+++ b/calicohitch/net/endpoints.py
@@ -12,6 +12,7 @@
 
 from ..clock import Clock
 from ..config import Address
+from ..core.leases import Holder, Leases
 from ..core.seam import Call, Result
 from ..interface import Outcome
 from .http import ClientConnection, Headers, Response
@@ -84,16 +85,15 @@
 
 
 class Endpoints:
-    """The connections to all endpoints. At most `most` are open; the longest idle one makes room."""
+    """The connections to all endpoints. Each has a lease; where there is none the longest idle one makes room."""
 
     def __init__(
-        self, clock: Clock, fields: tuple[str, ...], idle_ms: float, connect_ms: float, most: int
+        self, clock: Clock, fields: tuple[str, ...], idle_ms: float, connect_ms: float, leases: Leases
     ) -> None:
-        self._clock, self._fields, self._connect_s, self._most = clock, fields, connect_ms / 1e3, most
+        self._clock, self._fields, self._connect_s, self._leases = clock, fields, connect_ms / 1e3, leases
         self._idle_ms = idle_ms * _IDLE_SHARE or math.inf
         # An endpoint that moves is not called where it was, nor one that comes to its address by its calls.
         self._idle: dict[tuple[int, Address], deque[ClientConnection]] = {}
-        self._open = 0
 
     async def call(
         self,
@@ -158,12 +158,12 @@
             if anyio.current_time() > until:
                 raise NoDescriptor
             await anyio.sleep(_ROOM_S)
-        self._open += 1
+        self._leases.take(Holder.CALLS)
         try:
             with anyio.fail_after(self._connect_s):
                 return await ClientConnection.open(address)
         except BaseException as err:
-            self._open -= 1
+            self._leases.give_back(Holder.CALLS)
             if isinstance(err, OSError) and err.errno in (errno.EMFILE, errno.ENFILE):
                 self._close_longest_idle()
                 await anyio.sleep(_ROOM_S)
@@ -171,7 +171,7 @@
             raise
 
     def _is_full(self) -> bool:
-        return self._open >= self._most
+        return not self._leases.free_for(Holder.CALLS)
 
     def _warm(self, pool: tuple[int, Address]) -> ClientConnection | None:
         """The idle connection that was used last, if it can still be used: the others may then grow old."""
@@ -192,7 +192,7 @@
 
     def _close(self, connection: ClientConnection) -> None:
         connection.close()
-        self._open -= 1
+        self._leases.give_back(Holder.CALLS)
 
     def _close_longest_idle(self) -> bool:
         pools = [idle for idle in self._idle.values() if idle]
--- a/calicohitch/net/http.py
+++ b/calicohitch/net/http.py
@@ -19,6 +19,7 @@
 import h11
 
 from ..config import Address
+from ..core.leases import Holder, Leases
 from . import answer
 
 MAX_BODY = 64 << 10
@@ -262,9 +263,17 @@
 class KeptConnection:
     """A connection to a server that is asked again and again, opened anew where it broke or moved."""
 
-    def __init__(self, address: Address, max_body: int = MAX_BODY, needs_body: bool = False) -> None:
-        self._address, self._max_body, self._needs_body = address, max_body, needs_body
+    def __init__(
+        self,
+        address: Address,
+        max_body: int = MAX_BODY,
+        needs_body: bool = False,
+        lease: tuple[Leases, Holder] | None = None,
+    ) -> None:
+        """`lease`: the budget of descriptors, and whose part of it the connection takes."""
+        self._address, self._max_body, self._needs_body, self._lease = address, max_body, needs_body, lease
         self._connection: ClientConnection | None = None
+        self._leased = False
         self._connected_to = address
         self._asking = anyio.CancelScope()
 
@@ -286,6 +295,7 @@
                     self._close()
                     connection = await ClientConnection.open(address, self._max_body, self._needs_body)
                     self._connection, self._connected_to = connection, address
+                    self._leased = self._lease is not None and self._lease[0].take(self._lease[1])
                 response = await connection.request(method, target, headers, body)
             if self._address != address:
                 raise ConnectionResetError(f"the address is now {self._address}")
@@ -298,6 +308,8 @@
         if self._connection is not None:
             self._connection.close()
             self._connection = None
+            if self._lease and self._leased:
+                self._lease[0].give_back(self._lease[1])
 
 
 @dataclass(frozen=True, slots=True)
--- a/calicohitch/net/notices.py
+++ b/calicohitch/net/notices.py
@@ -12,6 +12,7 @@
 
 from ..config import Address
 from ..journal import End
+from ..core.leases import Holder, Leases
 from .http import KeptConnection
 
 _BATCH = 200  # notices in one request: well under 64 KiB
@@ -36,8 +37,11 @@
 class Notices:
     """Sends notices in order until each is acknowledged; open messages bound how many can wait."""
 
-    def __init__(self, address: Address, acknowledged: Callable[[int], None]) -> None:
-        self._agent, self._acknowledged = KeptConnection(address), acknowledged
+    def __init__(
+        self, address: Address, acknowledged: Callable[[int], None], leases: Leases | None = None
+    ) -> None:
+        lease = (leases, Holder.NOTICES) if leases else None
+        self._agent, self._acknowledged = KeptConnection(address, lease=lease), acknowledged
         self._waiting: deque[Notice] = deque()
         self._news = anyio.Event()
         self._failures = 0
--- a/calicohitch/net/relay.py
+++ b/calicohitch/net/relay.py
@@ -19,6 +19,7 @@
 from .. import interface as i
 from ..clock import Clock, to_micros, to_ms
 from ..config import Config
+from ..core.leases import Holder, shared_out
 from ..core.memory import CallMemory
 from ..core.seam import Call, Delivery, Ended, How, Refusal, Reply, Result, Submission
 from ..journal import Attempt, End, Entry, Journal, JournalFull
@@ -34,7 +35,6 @@
 
 _LIST_S = 0.3
 _OVERDUE_MS = 100.0
-_SPARE_SOCKETS = 24  # the listener, discovery, notices, notes, the journal, and what the interpreter holds
 
 
 @dataclass(slots=True, eq=False)
@@ -84,8 +84,10 @@
         settings = config.settings
         self._sender = Sender(settings, config.seed)
         self._tracer = tracer
+        self.leases = shared_out(config.limits.sockets, reserved)
         if tracer:
             tracer.why = self._sender.why_held
+            self.leases.take(Holder.TRACING)  # for its collector, whether it has one or not
         self._open: dict[int, _Open] = {}
         self._by_id: dict[str, int] = {}
         self._events: deque[i.Event] = deque()
@@ -96,15 +98,15 @@
         self.ready = self.stopping = False
         self.max_clients = config.limits.sockets // 2
         self._directory = Directory(config.names, speaks)
-        self._discovery = Discovery(config.discovery, self._directory, self._listed)
+        self._discovery = Discovery(config.discovery, self._directory, self._listed, self.leases)
         self._waits: dict[int, float] = {}  # destination, or endpoint where those are routes apart -> its end
-        self._notices = Notices(config.discovery, self._closed)
+        self._notices = Notices(config.discovery, self._closed, self.leases)
         self._endpoints = Endpoints(
             clock,
             tuple(report.name for report in settings.reports),
             to_ms(settings.idle_time),
             to_ms(settings.connect_timeout),
-            most=max(1, config.limits.sockets - self.max_clients - _SPARE_SOCKETS - reserved),
+            self.leases,
         )
         self._deliveries: dict[int, Delivery] = {0: self._endpoints}
         self._memory = CallMemory(settings.open_cap * 4)
--- a/tests/intake/test_admission.py
+++ b/tests/intake/test_admission.py
@@ -10,7 +10,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from calicohitch.intake.admission.keeping import Keeping
-from calicohitch.intake.admission.leases import Holder, Leases
+from calicohitch.core.leases import Holder, Leases, shared_out
 from calicohitch.intake.admission.load import Load, LoadLimits
 from calicohitch.intake.admission.queue import FairQueue
 from calicohitch.intake.admission.shares import HALF_LIFE_MS, Caps, Shares, Trusted, Verdict
@@ -101,6 +101,21 @@
         assert leases.held[Holder.NOTICES] >= 1 or leases.free_for(Holder.NOTICES)
 
 
+class Shared(unittest.TestCase):
+    def test_a_relays_budget_adds_up_and_calls_have_what_clients_and_others_leave(self) -> None:
+        for sockets, grpc in ((384, 0), (1_024, 256), (4_096, 1_024)):
+            leases = shared_out(sockets, grpc)
+            self.assertEqual(leases.total, sockets)
+            self.assertEqual(leases.free_for(Holder.CLIENTS), sockets // 2)
+            self.assertEqual(leases.free_for(Holder.CALLS), sockets - sockets // 2 - 24 - grpc)
+            while leases.take(Holder.CLIENTS):
+                pass
+            self.assertTrue(leases.take(Holder.CALLS) and leases.take(Holder.NOTICES))
+            self.assertIn(f"clients {sockets // 2}", leases.told())
+        self.assertRaises(ValueError, Leases(1, {}).give_back, Holder.CALLS)
+        self.assertRaises(ValueError, Leases, 1, {Holder.CALLS: 2})
+
+
 Budget.TestCase.settings = settings(max_examples=60, stateful_step_count=40, deadline=None, derandomize=True)
 TestBudget = Budget.TestCase
 
--- a/tests/intake/test_clients.py
+++ b/tests/intake/test_clients.py
@@ -20,6 +20,7 @@
 from world import LIMIT, World, member, until
 
 from calicohitch.commands import main
+from calicohitch.core.leases import Holder
 from calicohitch.intake.admission.settings import AdmissionSettings
 from calicohitch.intake.admission.shares import Caps
 from calicohitch.journal import End
@@ -58,7 +59,7 @@
     async def test_good_clients_behind_a_gateway_beside_a_script(self, world: World) -> None:
         """The script holds as many connections as it is let; the gateway's clients come each on one of its own."""
         world.admission = AdmissionSettings(Caps(each=20))
-        async with world.relay():
+        async with world.relay() as relay:
             script, told = [connect(world, "127.0.0.66") for _ in range(300)], []
             for n in range(60):
                 sock = connect(world, "127.0.0.2")
@@ -73,6 +74,10 @@
             for sock in script:
                 sock.close()
             await until(lambda: not clients.shares.taken)
+            await until(lambda: relay.idle)
+            held = relay.leases.held
+            idle = sum(map(len, relay._endpoints._idle.values()))
+            self.assertEqual((held[Holder.CLIENTS], held[Holder.CALLS], held[Holder.DISCOVERY]), (0, idle, 1))
 
     @in_world
     async def test_a_script_behind_the_gateway_as_well(self, world: World) -> None:
