--- a/calicohitch/commands/check_config.py
+++ b/calicohitch/commands/check_config.py
@@ -16,5 +16,5 @@
     classes = ", ".join(config.names.classes)
     print(f"{config.name}: listens at {config.listen}, asks {config.discovery}, classes {classes}")
     if operator_path:
-        on = " and ".join(name for name in ("tracing", "grpc") if getattr(operator, name)) or "nothing further"
-        print(f"{operator_path}: {on} is switched on, logs are {operator.logs.format}")
+        on = ", ".join(name for name in ("tracing", "grpc", "clients") if getattr(operator, name)) or "nothing"
+        print(f"{operator_path}: settings of {on}; logs are {operator.logs.format}")
--- a/calicohitch/intake/clients.py
+++ b/calicohitch/intake/clients.py
@@ -391,6 +391,7 @@
             number: int | Refusal = Refusal.LEFT
         elif not self._load.admits(self.shares.known(seat.source, now), waited_ms):
             number = Refusal.BUSY
+            self._relay.turned_away(told, number)
         else:
             number = self._relay.take(told)
         if isinstance(number, Refusal):
--- a/calicohitch/net/relay.py
+++ b/calicohitch/net/relay.py
@@ -152,11 +152,16 @@
     def take(self, told: Submission) -> int | Refusal:
         """Journal a message. `accept` must follow once its client was told, or `withdraw` if it was not."""
         taken = self._take(told)
-        if self._tracer and isinstance(taken, Refusal) and taken not in (Refusal.TAKEN, Refusal.BEING_TAKEN):
-            self._tracer.turned_away(told.id, told.class_index, told.dest, told.headers, told.key, taken.value,
-                told.handed_in_again)
+        if isinstance(taken, Refusal) and taken not in (Refusal.TAKEN, Refusal.BEING_TAKEN):
+            self.turned_away(told, taken)
         return taken
 
+    def turned_away(self, told: Submission, why: Refusal) -> None:
+        """An intake refuses a message by itself, or `take` did: its story is told all the same."""
+        if self._tracer:
+            self._tracer.turned_away(told.id, told.class_index, told.dest, told.headers, told.key, why.value,
+                told.handed_in_again)
+
     def _take(self, told: Submission) -> int | Refusal:
         if (number := self._by_id.get(told.id)) is not None:
             # The client sent its request again, or another has its id: only the first may accept or withdraw.
--- a/calicohitch/tracing/export/collector.py
+++ b/calicohitch/tracing/export/collector.py
@@ -8,7 +8,7 @@
 import anyio
 import h11
 from loguru import logger
-from opentelemetry.proto.collector.trace.v1 import trace_service_pb2  # noqa: F401  here, not while messages wait
+from opentelemetry.proto.trace.v1 import trace_pb2  # noqa: F401  here, not while messages wait
 
 from ...clock import Clock
 from ...net.http import KeptConnection, Response
@@ -114,7 +114,8 @@
 
     def _compressed(self, body: bytes) -> bytes:
         if self._set.compression == "gzip":
-            packer = zlib.compressobj(1, zlib.DEFLATED, 16 + zlib.MAX_WBITS)  # 16: in gzip's form
+            # 16: in gzip's form; a window of 8 KiB, since the usual one takes a quarter of a megabyte for each batch
+            packer = zlib.compressobj(1, zlib.DEFLATED, 16 + 13, 6)
             return packer.compress(body) + packer.flush()
         if self._set.compression == "zstd":
             import zstandard
--- a/calicohitch/tracing/settings.py
+++ b/calicohitch/tracing/settings.py
@@ -29,8 +29,8 @@
     path: str = "/v1/traces"
     compression: str = "gzip"
     timeout_ms: float = 2_000.0
-    batch_bytes: int = 64 << 10
-    queue_bytes: int = 256 << 10
+    batch_bytes: int = 32 << 10
+    queue_bytes: int = 128 << 10
     give_up_ms: float = 60_000.0
 
 
--- a/tests/intake/test_clients.py
+++ b/tests/intake/test_clients.py
@@ -21,6 +21,7 @@
 
 from calicohitch.commands import main
 from calicohitch.core.leases import Holder
+from calicohitch.core.seam import Refusal
 from calicohitch.intake.admission.settings import AdmissionSettings
 from calicohitch.intake.admission.shares import Caps
 from calicohitch.journal import End
@@ -116,8 +117,10 @@
     async def test_a_late_loop_refuses_at_once_and_takes_nothing_twice(self, world: World) -> None:
         async with world.relay() as relay:
             sock = connect(world, "127.0.0.2")
-            with mock.patch.object(world.clients._load, "admits", return_value=False):
+            with mock.patch.object(world.clients._load, "admits", return_value=False), \
+                    mock.patch.object(relay, "turned_away") as told:
                 answer = await ask(sock, "m1")
+            self.assertIs(told.call_args[0][1], Refusal.BUSY)  # so that its trace tells why
             self.assertEqual(answer[:12], b"HTTP/1.1 503")
             self.assertIn(b"Retry-After: 1", answer)
             self.assertNotIn(b"Connection: close", answer)  # it may come again on the same connection
@@ -189,6 +192,20 @@
                     await until(lambda: relay.idle)
             sock.close()
 
+    @in_world
+    async def test_no_descriptor_for_the_next_file_of_the_journal(self, world: World) -> None:
+        """Nothing is taken on that could not be written down, and the refused are told when to come again."""
+        async with world.relay() as relay:
+            sock = connect(world, "127.0.0.2")
+            relay._journal._roll_at = 0  # the next record begins a new file
+            with mock.patch("calicohitch.journal.os.open", side_effect=OSError(errno.EMFILE, "Too many open files")):
+                answer = await ask(sock, "m1")
+            self.assertEqual(answer[:12], b"HTTP/1.1 503")
+            self.assertIn(b"Retry-After", answer)
+            self.assertEqual((await ask(sock, "m1"))[:12], b"HTTP/1.1 202")
+            await until(lambda: relay.idle)
+            sock.close()
+
     def test_at_the_limit_every_held_message_gets_its_end_and_known_clients_are_served(self) -> None:
         @in_world
         async def test(_: unittest.TestCase, world: World) -> None:
@@ -225,7 +242,7 @@
             try:
                 sock = connect(world, "127.0.0.2")
                 taken = 0
-                for n in range(60):
+                for n in range(200):
                     taken += (await ask(sock, f"m{n}")).startswith(b"HTTP/1.1 202")
                 for n in range(300):
                     try:
