--- a/calicohitch/net/http.py
+++ b/calicohitch/net/http.py
@@ -130,10 +130,6 @@
         with suppress(OSError):
             self._sock.shutdown(socket.SHUT_RDWR)
 
-    def detach(self) -> socket.socket:
-        """The socket, for another to use and close."""
-        return self._sock
-
     def end_sending(self) -> None:
         self._sock.shutdown(socket.SHUT_WR)
 
