Let one piece read common heads, look at a socket, and say when to come again

Requests and answers were read in front of h11 by two copies of the same code: net/head.py now has what they share. A seat looked at its socket with copies of what a Link does; both call the same functions. How long a refused client waits stood in the HTTP and the gRPC intake, and now with the refusal. The two ends of a client's task, the two readings by h11 in the fuzz tests, and a benchmark's second way to read a process's CPU are one each. A method that nothing called and a check that could not be met are gone.

--- a/benchmarks/grpc_calls.py
+++ b/benchmarks/grpc_calls.py
@@ -20,7 +20,7 @@
 
 import grpc
 import grpc.aio
-from parties import ROOT, TICKS, Platform, RelayProcess, free_port, spread
+from parties import Platform, RelayProcess, cpu_of, free_port, spread
 from tracing import load
 
 # An endpoint on grpcio's asyncio server: echoes; "flood:N" streams N messages of 64 KiB. Its port is printed.
@@ -74,8 +74,7 @@
         self.port = int(self.process.stdout.readline())
 
     def cpu_s(self) -> float:
-        fields = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
-        return (int(fields[11]) + int(fields[12])) / TICKS
+        return cpu_of(self.process.pid)
 
     def close(self) -> None:
         self.process.kill()
@@ -204,5 +203,4 @@
 
 
 if __name__ == "__main__":
-    assert ROOT
     {"cpu": cpu, "added": added, "memory": memory}[sys.argv[1] if len(sys.argv) > 1 else "cpu"]()
--- a/calicohitch/core/seam.py
+++ b/calicohitch/core/seam.py
@@ -36,6 +36,11 @@
     BEING_TAKEN = "it is being handed in on another connection"
     TAKEN = "it is taken on already"
 
+    @property
+    def come_again_ms(self) -> float:
+        """After how long its client may hand it in again: here once there is room, else at once at another relay."""
+        return 1_000.0 if self in (Refusal.FULL, Refusal.UNKNOWN, Refusal.BUSY) else 100.0
+
 
 class How(Enum):
     """The one end of a message whose client waits for it."""
--- a/calicohitch/grpc/intake.py
+++ b/calicohitch/grpc/intake.py
@@ -27,7 +27,6 @@
 _ROOM_S = 0.02
 _WATCH_S = 0.1
 _LOOK_S = 1.0
-_BUSY_MS, _ELSEWHERE_MS = 1_000.0, 100.0  # as HTTP clients are told
 
 
 def pushback(ms: float) -> Headers:
@@ -207,8 +206,7 @@
             return trailers_only(Status.INVALID_ARGUMENT, why.value)
         if why in (Refusal.TAKEN, Refusal.BEING_TAKEN):
             return trailers_only(Status.ABORTED, "a call with this id is open")
-        busy = why in (Refusal.FULL, Refusal.UNKNOWN)
-        return trailers_only(Status.UNAVAILABLE, why.value, pushback(_BUSY_MS if busy else _ELSEWHERE_MS))
+        return trailers_only(Status.UNAVAILABLE, why.value, pushback(why.come_again_ms))
 
     async def _end(self, stream: Http2Stream, pipe: Pipe, end: Ended) -> None:
         """The one answer. An endpoint's own end is passed on as it is."""
--- a/calicohitch/intake/clients.py
+++ b/calicohitch/intake/clients.py
@@ -11,7 +11,6 @@
 import os
 import select
 import socket
-from collections.abc import Callable
 from contextlib import suppress
 
 import anyio
@@ -20,7 +19,8 @@
 from loguru import logger
 
 from ..core.seam import Refusal, Submission
-from ..net.http import Ambiguous, BodyTooLarge, Link, Request, ServerConnection
+from ..net.head import Look
+from ..net.http import Ambiguous, BodyTooLarge, Link, Request, ServerConnection, has_ended
 from ..net.relay import Relay
 from ..core.leases import Holder
 from ..core.news import News
@@ -30,7 +30,7 @@
 from .admission.queue import FairQueue
 from .admission.settings import AdmissionSettings
 from .admission.shares import Shares, Verdict
-from .head import Common, Look, answer, read
+from .head import Common, answer, read
 from .seats import Seat, Seats
 from .submission import ACCEPTED, BadRequest, Told, read_submission, refusal
 
@@ -328,7 +328,7 @@
             self.seats.begun[seat] = None
 
     def _answer_now(self, seat: Seat, found: Common, waited_ms: float) -> None:
-        told, number, submission = self._decide(seat, found.request, seat.has_ended, waited_ms)
+        told, number, submission = self._decide(seat, found.request, waited_ms)
         seat.handed_in = number is not None
         close = told.close or found.close or not self._keep_alive(number)
         data = answer(told.status, told.headers, told.body, close)
@@ -363,8 +363,6 @@
 
     def _keep(self, seat: Seat) -> None:
         """It is answered, and may come again."""
-        if seat.gone:
-            return
         seat.first = False
         seat.since = anyio.current_time()
         seat.deadline = seat.since + _IDLE_S
@@ -372,7 +370,7 @@
         self._waiting.tell()
 
     def _decide(
-        self, seat: Seat, request: Request, has_ended: Callable[[], bool], waited_ms: float = 0.0
+        self, seat: Seat, request: Request, waited_ms: float = 0.0
     ) -> tuple[Told, int | None, Submission | None]:
         """What a request that was read whole is answered; and the message that is accepted once it was."""
         if request.method == "GET" and request.path in ("/health/ready", "/health/live"):
@@ -387,7 +385,7 @@
         now = anyio.current_time() * 1e3
         if waited_ms:
             self._load.measured(now, waited_ms)
-        if has_ended():
+        if has_ended(seat.sock):
             number: int | Refusal = Refusal.LEFT
         elif not self._load.admits(self.shares.known(seat.source, now), waited_ms):
             number = Refusal.BUSY
@@ -417,20 +415,21 @@
             logger.debug("a client's connection ended: {}", err)
         finally:
             self._answering -= 1
-            seat.scope = None
             if number is not None and not told:
                 self._relay.withdraw(number)
-            if told and not close and not seat.gone:
-                self._return(seat)
-            else:
-                self._close(seat)
-                seat.sock.close()
+            self._task_over(seat, keep=told and not close)
         if told and number is not None and submission:
             self._relay.accept(number, submission)
 
-    def _return(self, seat: Seat) -> None:
-        self._wait(seat)
-        self._keep(seat)
+    def _task_over(self, seat: Seat, keep: bool) -> None:
+        """Its connection waits again without a task, or is closed."""
+        seat.scope = None
+        if keep and not seat.gone:
+            self._wait(seat)
+            self._keep(seat)
+        else:
+            self._close(seat)
+            seat.sock.close()
 
     def _hand_over(self, seat: Seat, late: bool = False, ended: bool = False) -> None:
         """Give a request that is uncommon, or that does not end, to h11 and a task."""
@@ -460,12 +459,7 @@
             logger.exception("a client's connection broke off")
         finally:
             self.seats.leave_line(seat)
-            seat.scope = None
-            if keep and not seat.gone:
-                self._return(seat)
-            else:
-                self._close(seat)
-                seat.sock.close()
+            self._task_over(seat, keep)
 
     async def _one_request(self, seat: Seat, connection: ServerConnection, late: bool) -> bool:
         """Answer one request; False when the connection is to be closed."""
@@ -486,7 +480,7 @@
             return False
         self.seats.leave_line(seat)
         self._answering += 1
-        told, number, submission = self._decide(seat, request, connection.client_left)
+        told, number, submission = self._decide(seat, request)
         seat.handed_in = number is not None
         try:
             with anyio.fail_after(_REPLY_S):
--- a/calicohitch/intake/seats.py
+++ b/calicohitch/intake/seats.py
@@ -9,6 +9,8 @@
 
 import anyio
 
+from ..net.http import has_ended, is_quiet
+
 _MOST_COMPARED = 32  # of those who could make room
 PATIENCE_S = 0.3  # a client that has just connected has this long before it has to make room
 
@@ -30,24 +32,7 @@
 
     def is_silent(self) -> bool:
         """It is owed nothing: no part of a request has come."""
-        if self.data or self.scope:
-            return False
-        try:
-            self.sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return True
-        return self.has_ended()
-
-    def has_ended(self) -> bool:
-        """The client has closed the connection, or its sending on it."""
-        try:
-            return not self.sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
+        return not (self.data or self.scope) and (is_quiet(self.sock) or has_ended(self.sock))
 
 
 @dataclass(slots=True)
--- a/calicohitch/intake/submission.py
+++ b/calicohitch/intake/submission.py
@@ -9,8 +9,6 @@
 from ..core.seam import Refusal, Submission
 from ..net.http import Headers, Request
 
-_BUSY_RETRY_S = b"1"
-_ELSEWHERE_RETRY_S = b"0.1"  # another relay can take it at once
 _SINGLE = {b"req-id", b"idempotency-key", b"req-deadline-ms", b"envelope"}
 _TOKEN = re.compile(rb"[!-~]{1,256}")
 
@@ -88,6 +86,5 @@
         return ACCEPTED
     if why is Refusal.NO_KEY:
         return Told(400, [], why.value.encode(), close=True)
-    busy = why in (Refusal.FULL, Refusal.UNKNOWN, Refusal.BUSY)
-    headers: Headers = [(b"Retry-After", _BUSY_RETRY_S if busy else _ELSEWHERE_RETRY_S)]
+    headers: Headers = [(b"Retry-After", f"{why.come_again_ms / 1e3:g}".encode())]
     return Told(503, headers, why.value.encode(), close=why not in (Refusal.FULL, Refusal.BUSY))
--- a/calicohitch/net/http.py
+++ b/calicohitch/net/http.py
@@ -21,6 +21,7 @@
 from ..config import Address
 from ..core.leases import Holder, Leases
 from . import answer
+from .head import Look
 
 MAX_BODY = 64 << 10
 _READ = 64 << 10
@@ -59,6 +60,27 @@
     return sock
 
 
+def is_quiet(sock: socket.socket) -> bool:
+    """Open, as far as this side has been told, with nothing unread."""
+    try:
+        sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
+def has_ended(sock: socket.socket) -> bool:
+    """The other side has closed the connection, or its sending on it."""
+    try:
+        return not sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
 class Link:
     """One TCP connection; only the task that uses it closes it."""
 
@@ -107,23 +129,10 @@
         await anyio.wait_writable(self._sock)
 
     def is_quiet(self) -> bool:
-        """Open, as far as this side has been told, with nothing unread."""
-        try:
-            self._sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
+        return is_quiet(self._sock)
 
     def has_ended(self) -> bool:
-        """The other side has closed the connection, or its sending on it."""
-        try:
-            return not self._sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
+        return has_ended(self._sock)
 
     def shut_down(self) -> None:
         """Ends every wait on the connection, of whichever task; `close` is still due."""
@@ -204,8 +213,8 @@
     async def _common_response(self) -> Response | None:
         """The response, if it comes whole and in its usual form; else what came of it is left in `_came`."""
         self._came = data = await self._receive()
-        found = answer.read(data, self._max_body) if data else answer.Look.UNCOMMON
-        if isinstance(found, answer.Look):
+        found = answer.read(data, self._max_body) if data else Look.UNCOMMON
+        if isinstance(found, Look):
             return None
         self._clean = True
         return Response(*found)
@@ -333,10 +342,6 @@
     def client_left(self) -> bool:
         return self._link.has_ended()
 
-    def is_quiet(self) -> bool:
-        """No part of a request has come."""
-        return self._link.is_quiet() or self._link.has_ended()
-
     async def started(self) -> bool:
         """Waits for the first bytes of the next request; False if the client ended the connection instead."""
         if not self._http.trailing_data[0]:
--- a/tests/intake/test_head.py
+++ b/tests/intake/test_head.py
@@ -8,8 +8,10 @@
 import h11
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from parties.against_h11 import cut_about, read_by
 
-from calicohitch.intake.head import LONGEST_HEAD, Common, Look, answer, read
+from calicohitch.intake.head import Common, answer, read
+from calicohitch.net.head import LONGEST_HEAD, Look
 from calicohitch.net.http import MAX_BODY
 
 USUAL = (b"POST /orders HTTP/1.1\r\nHost: r\r\nReq-Id: a1\r\nReq-Deadline-Ms: 5000\r\nIdempotency-Key: k\r\n"
@@ -19,23 +21,10 @@
 def by_h11(data: bytes) -> tuple[Any, ...] | str:
     """What h11 makes of the bytes: the one whole request, or a word on why there is none."""
     connection = h11.Connection(h11.SERVER)
-    head, body = None, b""
-    try:
-        connection.receive_data(data)
-        while not isinstance(event := connection.next_event(), h11.EndOfMessage):
-            if event is h11.NEED_DATA:
-                return "short"
-            if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
-                return "over"
-            if isinstance(event, h11.Request):
-                head = event
-            elif isinstance(event, h11.Data):
-                body += bytes(event.data)
-    except h11.RemoteProtocolError:
-        return "broken"
-    assert head is not None
-    if connection.trailing_data[0]:
-        return "more"
+    found = read_by(connection, data)
+    if isinstance(found, str):
+        return found
+    head, body = found
     connection.send(h11.Response(status_code=200, headers=[(b"content-length", b"0")]))
     connection.send(h11.EndOfMessage())
     return head.method, head.target, list(head.headers), body, connection.our_state is h11.MUST_CLOSE
@@ -54,20 +43,9 @@
     b"Content-Length: 4\r\n", b"Content-Length: 04\r\n", b"Content-Length: +4\r\n"])
 
 
-@st.composite
-def requests(draw: Any) -> bytes:
-    """The usual one with a few cuts and insertions, most of them in its lines' places."""
-    data = USUAL
-    for _ in range(draw(st.integers(0, 3))):
-        ends = [n + 2 for n in range(len(data)) if data[n : n + 2] == b"\r\n"]
-        at = draw(st.sampled_from(ends) if ends and draw(st.booleans()) else st.integers(0, len(data)))
-        data = data[:at] + draw(PIECES | st.binary(max_size=3)) + data[at + draw(st.integers(0, 3)) :]
-    return data[: draw(st.integers(0, len(data)))] if draw(st.integers(0, 9)) == 0 else data
-
-
 class Heads(unittest.TestCase):
     @settings(max_examples=2_000, deadline=None, derandomize=True)
-    @given(requests())
+    @given(cut_about(USUAL, PIECES))
     def test_what_is_read_here_h11_reads_alike(self, data: bytes) -> None:
         found, told = read(data), by_h11(data)
         if isinstance(found, Common):
