Clients wait in the event loop's own poll, not in a poll within it

Discovery and the list were not the cause: a relay is ready 0.3 s after its start whatever they do.

Sockets of clients are now registered with the loop (`intake/readiness.py`).

--- a/calicohitch/core/leases.py
+++ b/calicohitch/core/leases.py
@@ -18,7 +18,7 @@
     CLIENTS = "clients"
 
 
-_FIXED = 21  # the listener, notes, the journal, the polls, and what the interpreter holds
+_FIXED = 21  # the listener, notes, the journal, the poll, and what the interpreter holds
 
 
 def shared_out(sockets: int, grpc: int = 0) -> Leases:
--- a/calicohitch/intake/clients.py
+++ b/calicohitch/intake/clients.py
@@ -1,6 +1,6 @@
 """The HTTP server that clients hand messages in to.
 
-Connections wait in one epoll of their own, without a task and without a parser, whatever their number. What comes on
+Connections wait in the event loop, without a task and without a parser, whatever their number. What comes on
 one is read at once, and the common request (see `head`) is answered on the spot. Only an uncommon one, or one whose
 answer the kernel does not take whole, gets a task, and h11.
 """
@@ -9,7 +9,6 @@
 
 import errno
 import os
-import select
 import socket
 from contextlib import suppress
 
@@ -31,6 +30,7 @@
 from .admission.settings import AdmissionSettings
 from .admission.shares import Shares, Verdict
 from .head import Common, answer, read
+from .readiness import Readiness
 from .seats import Seat, Seats
 from .submission import ACCEPTED, BadRequest, Told, read_submission, refusal
 
@@ -69,7 +69,7 @@
         self._busy = False  # something came since the loop's lateness was last measured
         self._spare = -1  # a descriptor that is kept for a word to those for whom there is none
         self._by_fd: dict[int, Seat] = {}
-        self._poll: select.epoll | None = None
+        self._waited_for: Readiness | None = None
         self._listening = self._starved = False
         self._tasks: TaskGroup | None = None
         self._waiting = News()  # that a seat waits with a time of its own
@@ -83,7 +83,7 @@
                                      if seat.data or seat.scope)
 
     async def run(self) -> None:
-        poll = self._poll = select.epoll()
+        waited_for = self._waited_for = Readiness()
         self._spare = os.open(os.devnull, os.O_RDONLY | os.O_CLOEXEC)
         try:
             async with anyio.create_task_group() as tasks:
@@ -96,30 +96,31 @@
                     if len(self._ready):
                         await anyio.sleep(0)  # calls and timers have their turn
                     else:
-                        await anyio.wait_readable(poll)
-                    self._turn(poll.poll(0, _EVENTS_A_TURN) if len(self._ready) < _EVENTS_A_TURN else [])
+                        await waited_for.wait()
+                    self._turn(waited_for.take(_EVENTS_A_TURN) if len(self._ready) < _EVENTS_A_TURN else [])
         finally:
+            self._listen(False)
             for seat in list(self._by_fd.values()):
+                self._leave(seat)
                 seat.sock.close()
-            poll.close()
             if self._spare >= 0:
                 os.close(self._spare)
 
     def _listen(self, on: bool) -> None:
         """Whether new connections are looked for; they wait in the backlog while they are not."""
-        assert self._poll
+        assert self._waited_for
         if on != self._listening:
             self._listening = on
             if on:
-                self._poll.register(self._listener, select.EPOLLIN)
+                self._waited_for.register(self._listener)
             else:
-                self._poll.unregister(self._listener)
+                self._waited_for.unregister(self._listener)
 
-    def _turn(self, events: list[tuple[int, int]]) -> None:
+    def _turn(self, readable: list[int]) -> None:
         """What came: requests first, one of each source after the other, then new connections."""
         listener, now, connecting = self._listener.fileno(), anyio.current_time(), False
         self._busy = True
-        for fd, _ in events:
+        for fd in readable:
             if fd == listener:
                 connecting = True
             elif (seat := self._by_fd.get(fd)) and not seat.queued:
@@ -237,15 +238,15 @@
             self._wait(seat)
 
     def _wait(self, seat: Seat) -> None:
-        assert self._poll
+        assert self._waited_for
         self._by_fd[seat.sock.fileno()] = seat
-        self._poll.register(seat.sock, select.EPOLLIN)
+        self._waited_for.register(seat.sock)
         self._waiting.tell()
 
     def _leave(self, seat: Seat) -> None:
         """Its socket is no longer waited for here, and stays open."""
-        if self._by_fd.pop(seat.sock.fileno(), None) and self._poll:
-            self._poll.unregister(seat.sock)
+        if self._by_fd.pop(seat.sock.fileno(), None) and self._waited_for:
+            self._waited_for.unregister(seat.sock)
 
     def _close(self, seat: Seat) -> None:
         if not seat.gone:
@@ -259,8 +260,8 @@
             if seat.scope:
                 seat.scope.cancel()  # its task closes the socket
             else:
-                self._by_fd.pop(seat.sock.fileno(), None)
-                seat.sock.close()  # which the poll notices by itself
+                self._leave(seat)
+                seat.sock.close()
 
     def _make_room(self) -> bool:
         """Close one connection that is owed no answer."""
