Back off from discovery so slowly that its line of abandoned calls runs empty

Calls that their callers have left stay in its line, so it answers in vain: the load that overbooks it is the retries.

--- a/calicohitch/core/backoff.py
+++ b/calicohitch/core/backoff.py
@@ -8,8 +8,9 @@
 
 import random
 
-_CALLS_PER_S = 10.0  # that all callers together make at most, once each has failed often: no agent is short of that
-_SHORTEST_S, _LONGEST_S = 0.1, 8.0
+_CALLS_PER_S = 3.0  # that all callers together make in the end: what comes faster than a server answers waits in its
+# line until their callers have left, and are then answered in vain, so that it stays overbooked without any new load
+_SHORTEST_S, _LONGEST_S = 0.1, 16.0
 
 
 class Backoff:
