--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -114,6 +114,24 @@
         self.assertLess(share.rate(), 2.0)
 
 
+class WarmConnections(unittest.TestCase):
+    def test_connections_are_kept_again_soon_after_an_outage(self) -> None:
+        """One destination is down for five seconds: for minutes all others of its kind were called by handshakes."""
+        courier = Courier(couriers=40)
+        courier.list(i.Listed(11, 1), i.Listed(21, 2))
+        courier.wait(30 * SECOND)
+        courier.serve(1, dest=2)
+        courier.arrive(dest=1)
+        down = courier.next_id - 1
+        closed = courier.wait(20 * MS, courier.outcome(down, i.Outcome.CONNECT_FAILED))
+        self.assertIn(i.CloseIdle(21), closed)  # its table may be full of idle connections
+        for after, kept in ((SECOND, False), (4 * SECOND, True)):
+            courier.wait(after)
+            courier.arrive(dest=2)
+            told = courier.wait(20 * MS, courier.outcome(courier.next_id - 1))
+            self.assertEqual(i.CloseIdle(21) not in told, kept)
+
+
 class Jitter(unittest.TestCase):
     def test_callers_that_failed_together_come_back_apart_and_not_too_often(self) -> None:
         for callers in (1, 2, 3, 40, 48, 400):
