Count a share's rate once a call; no unused default of discovery's back-off

`Share._refill` took the same power twice, on the path of each call and answer. `Discovery` had a back-off for callers that give none, and there are none. A comment of `Backoff` promised a rate that the longest pause outweighs for more than 24 relays.

--- a/calicohitch/core/backoff.py
+++ b/calicohitch/core/backoff.py
@@ -17,7 +17,8 @@
     """Pauses between attempts, in seconds, for one of `callers` that may all have failed at once."""
 
     def __init__(self, callers: int, seed: int) -> None:
-        # The mean pause is half of the bound: at its longest all callers together stay within the rate above.
+        # The mean pause is half of the bound: at its longest all callers together stay within the rate above, or come
+        # more often where they are so many that nobody would hear anything for longer than the longest pause.
         self.ceiling = min(max(2 * callers / _CALLS_PER_S, 2 * _SHORTEST_S), _LONGEST_S)
         self._first = min(max(_SHORTEST_S, callers / _CALLS_PER_S / 4), self.ceiling)
         self._random = random.Random(seed)
--- a/calicohitch/core/share.py
+++ b/calicohitch/core/share.py
@@ -78,6 +78,6 @@
         return int(drawn * _SECOND / max(self.part, 1.0) / 2)
 
     def _refill(self, now: int) -> None:
-        most = 1 + _BURST_S * self.rate()
-        self._tokens = min(most, self._tokens + self.rate() * (now - self._at) / _SECOND)
+        rate = self.rate()
+        self._tokens = min(1 + _BURST_S * rate, self._tokens + rate * (now - self._at) / _SECOND)
         self._at = now
--- a/calicohitch/net/discovery.py
+++ b/calicohitch/net/discovery.py
@@ -133,17 +133,17 @@
         address: Address,
         directory: Directory,
         tell: Callable[[ListTold], None],
+        backoff: Backoff,
         leases: Leases | None = None,
-        backoff: Backoff | None = None,
     ) -> None:
-        """`backoff`: the pauses after a failure, by default those of a relay that is alone."""
+        """`backoff`: the pauses after a failure."""
         lease = (leases, Holder.DISCOVERY) if leases else None
         self._agent = KeptConnection(address, _MAX_LIST, needs_body=True, lease=lease)
         self._directory, self._tell = directory, tell
         self._version: int | None = None
         self._wait_ms = WATCH_MS
         self._failures = 0
-        self._backoff = backoff or Backoff(1, 0)
+        self._backoff = backoff
         self.heard = anyio.Event()  # set by the first answer
 
     def has(self, version: int) -> None:
--- a/calicohitch/net/relay.py
+++ b/calicohitch/net/relay.py
@@ -99,8 +99,8 @@
         self.ready = self.stopping = False
         self.max_clients = config.limits.sockets // 2
         self._directory = Directory(config.names, speaks)
-        self._discovery = Discovery(config.discovery, self._directory, self._listed, self.leases,
-            Backoff(settings.couriers, config.seed))
+        backoff = Backoff(settings.couriers, config.seed)
+        self._discovery = Discovery(config.discovery, self._directory, self._listed, backoff, self.leases)
         self._waits: dict[int, float] = {}  # destination, or endpoint where those are routes apart -> its end
         self._notices = Notices(config.discovery, self._closed, self.leases)
         self._endpoints = Endpoints(
