--- a/calicohitch/core/leases.py
+++ b/calicohitch/core/leases.py
@@ -9,7 +9,7 @@
 class Holder(Enum):
     """Who holds descriptors, in the order in which they may have one: what delivers goes before what comes in."""
 
-    RELAY = "relay"  # listeners, the journal, the poll, what the interpreter holds
+    RELAY = "relay"  # listeners, the journal, the claim on it, the poll, what the interpreter holds
     NOTICES = "notices"
     DISCOVERY = "discovery"
     CALLS = "calls"
@@ -18,7 +18,7 @@
     CLIENTS = "clients"
 
 
-_FIXED = 21  # the listener, notes, the journal, the poll, and what the interpreter holds
+_FIXED = 21  # the listener, notes, the journal, the claim on it, the poll, and what the interpreter holds
 
 
 def shared_out(sockets: int, grpc: int = 0) -> Leases:
--- a/calicohitch/journal.py
+++ b/calicohitch/journal.py
@@ -3,33 +3,45 @@
 Records are appended, each with its length and checksum, and each is written before the act that it speaks of.
 Files are small segments; the oldest goes once none of the messages taken on in it is open, and since messages
 live for seconds, nothing is ever compacted.
+
+A damaged stretch of a segment costs what stood in it and nothing else (`recovery/salvage.py`). Who was open there is
+`doubtful`: an attempt, or an end, may be missing. A segment with damage is kept aside once it is no longer needed.
 """
 
 from __future__ import annotations
 
 import json
+import math
 import os
+import re
 import struct
 import zlib
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import IntEnum
 from pathlib import Path
 
-_FRAME = struct.Struct(">II")  # length and checksum of what follows
+from .recovery.problems import FolderNewer, FolderProblem
+from .recovery.salvage import FRAME, Lost, Record, records
+
+FORMAT = 2  # 1 had no headers; a reader of 1 skips them
 _HEAD = struct.Struct(">BQ")  # kind of record, message
 _TAKEN = struct.Struct(">dH")  # deadline, length of the JSON before the body
 _ATTEMPT = struct.Struct(">HdH")  # attempt, time sent, zone
 _OUTCOME = struct.Struct(">HB")  # attempt, whether it may have run
 _END = struct.Struct(">Bd")  # handed back or given up, advice
+_HEADER = struct.Struct(">HQI")  # format, life, number of the segment
 _BLOCK = 512  # the platform counts each file in whole blocks of this size
 _AFTERWARDS = 640  # bytes kept free for each open message: eight attempts, their outcomes, its end
 _SHARE = 0.7  # of the disk that the journal uses at most; the rest is a margin
-_LARGEST = 1 << 20  # a longer record can only be damage
+_SEGMENT = re.compile(r"journal-(\d{8,18})\.log")
+_ASIDE = "damaged-"  # before the name of a segment that is kept for inspection
+_MOST_ASIDE, _ASIDE_SHARE = 4, 0.05  # files, and share of the disk's budget
 
 
 class JournalFull(Exception):
-    """The record was not written, and nothing of it is left on disk."""
+    """The record was not written, and nothing of it is left on disk: there is no room, or the folder is another's."""
 
 
 class _Kind(IntEnum):
@@ -40,6 +52,7 @@
     CLOSED = 5
     CALL = 7  # like TAKEN, of a client's open call, whose body is not kept: a reader that does not know it skips it
     TRACE = 6  # opaque to the journal; a reader that does not know it skips it
+    HEADER = 8  # of message 0: the first of a segment; a reader that does not know it skips it
 
 
 @dataclass(slots=True)
@@ -75,6 +88,20 @@
     end: End | None = None
     trace: bytes = b""
     call: bool = False  # its client's call was open: a later life remembers what was tried, and does not try itself
+    doubtful: bool = False  # an attempt after `whole_until`, or its end, may be missing
+    whole_until: float = 0.0  # the last time, before the damage, that the journal tells
+    bodiless: bool = False  # its body is damaged: it can be ended and no more
+
+
+@dataclass(frozen=True, slots=True)
+class Damage:
+    """One stretch of a segment that was not as it was written; `what` became of it, in words for people."""
+
+    segment: str
+    offset: int
+    length: int
+    what: str
+    mended: bool = False
 
 
 @dataclass(slots=True)
@@ -82,26 +109,38 @@
     path: Path
     size: int = 0
     open: int = 0
+    damaged: bool = False
 
     def on_disk(self) -> int:
         return -(-self.size // _BLOCK) * _BLOCK
 
 
 class Journal:
-    """The journal of one relay. `entries` holds what an earlier life left open, after the start."""
+    """The journal of one relay. `entries` holds what an earlier life left open, after the start, `damage` what of its
+    files was not whole, and `orphans` how many messages are known by later records only. FolderProblem where the folder
+    cannot be used. `check` is called before each write, and raises where this life may not act."""
 
-    def __init__(self, folder: Path, disk_bytes: float) -> None:
+    def __init__(
+        self, folder: Path, disk_bytes: float, life: int = 0, check: Callable[[], None] = lambda: None
+    ) -> None:
         self._budget = int(disk_bytes * _SHARE)
         self._roll_at = max(4096, min(128 << 10, self._budget // 16))
-        self._folder = folder
+        self._folder, self._life, self._check = folder, life, check
         self._segments: deque[_Segment] = deque()
         self._home: dict[int, _Segment] = {}  # open message -> the segment that it was taken on in
         self._fd = -1
+        self._last = 0  # number of the newest segment
+        self._aside = 0  # bytes on disk of what is kept for inspection
         self.entries: dict[int, Entry] = {}
+        self.damage: list[Damage] = []
+        self.orphans = 0
         self.next_number = 1
+        self.written_until = 0.0  # the last time that an attempt was written, in milliseconds of Unix time
+        self._over: set[int] = set()  # while segments are read: messages that are closed
+        self._early: dict[int, list[tuple[int, bytes]]] = {}  # and records of messages that no segment told yet
         folder.mkdir(parents=True, exist_ok=True)
-        for path in sorted(folder.glob("journal-*.log")):
-            self._load(path)
+        self._load_all()
+        self.next_number = max(self.next_number, life << 32)  # numbers of a damaged stretch are not used again
         self._drop_oldest()
 
     def close(self) -> None:
@@ -109,8 +148,16 @@
             os.close(self._fd)
             self._fd = -1
 
+    def may_act(self) -> bool:
+        """Whether the folder is still this life's: asked before what goes out without a record of its own."""
+        try:
+            self._check()
+        except FolderProblem:
+            return False
+        return True
+
     def used(self) -> int:
-        return sum(segment.on_disk() for segment in self._segments)
+        return self._aside + sum(segment.on_disk() for segment in self._segments)
 
     def has_room(self, body: int) -> bool:
         """Whether one more message can be taken on, with room left for what follows of all open ones."""
@@ -149,17 +196,18 @@
     @staticmethod
     def _record(kind: _Kind, number: int, data: bytes) -> bytes:
         payload = _HEAD.pack(kind, number) + data
-        return _FRAME.pack(len(payload), zlib.crc32(payload)) + payload
+        return FRAME.pack(len(payload), zlib.crc32(payload)) + payload
 
     def _append(self, kind: _Kind, number: int, data: bytes, behind: bytes = b"") -> _Segment:
         """Write a record, and what goes with it in the same write; all of it or nothing."""
         record = self._record(kind, number, data) + behind
         try:
+            self._check()
             if self._fd < 0 or 0 < self._segments[-1].size > self._roll_at - len(record):
                 self._roll()
             segment = self._segments[-1]
             written = os.write(self._fd, record)
-        except OSError as err:
+        except (OSError, FolderProblem) as err:
             raise JournalFull(str(err)) from err
         if written < len(record):  # a full disk; half a record would hide all that follows it
             os.ftruncate(self._fd, segment.size)
@@ -168,52 +216,154 @@
         return segment
 
     def _roll(self) -> None:
-        last = int(self._segments[-1].path.stem.rpartition("-")[2]) if self._segments else 0
-        path = self._folder / f"journal-{last + 1:08d}.log"
-        fd = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_TRUNC, 0o600)
+        path = self._folder / f"journal-{self._last + 1:08d}.log"
+        header = self._record(_Kind.HEADER, 0, _HEADER.pack(FORMAT, self._life, self._last + 1))
+        fd = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_TRUNC | os.O_CLOEXEC, 0o600)
+        try:
+            if os.write(fd, header) < len(header):
+                raise OSError("the disk is full")
+        except OSError:
+            os.close(fd)
+            path.unlink(missing_ok=True)
+            raise
         self.close()
         self._fd = fd
-        self._segments.append(_Segment(path))
+        self._last += 1
+        self._segments.append(_Segment(path, len(header)))
 
     def _drop_oldest(self) -> None:
         while self._segments and not self._segments[0].open and (len(self._segments) > 1 or self._fd < 0):
-            self._segments.popleft().path.unlink(missing_ok=True)
-
-    def _load(self, path: Path) -> None:
-        """Read a segment up to the first record that is not whole, and cut off the rest."""
-        data, at = path.read_bytes(), 0
-        segment = _Segment(path)
-        self._segments.append(segment)
-        while at + _FRAME.size <= len(data):
-            length, checksum = _FRAME.unpack_from(data, at)
-            payload = data[at + _FRAME.size : at + _FRAME.size + length]
-            whole = _HEAD.size <= length <= _LARGEST and len(payload) == length
-            if not whole or zlib.crc32(payload) != checksum:
-                break
-            at += _FRAME.size + length
-            self._replay(payload, segment)
-        if at < len(data):
-            os.truncate(path, at)
-        segment.size = at
-
-    def _replay(self, payload: bytes, segment: _Segment) -> None:
-        kind, number = _HEAD.unpack_from(payload)
-        rest = payload[_HEAD.size :]
+            segment = self._segments.popleft()
+            if not (segment.damaged and self._keep_aside(segment)):
+                segment.path.unlink(missing_ok=True)
+
+    def _keep_aside(self, segment: _Segment) -> bool:
+        """Keep a damaged segment for inspection; the oldest of those make room for it."""
+        kept = sorted(self._folder.glob(f"{_ASIDE}*"))
+        room = int(self._budget * _ASIDE_SHARE)
+        while kept and (len(kept) >= _MOST_ASIDE or self._aside + segment.on_disk() > room):
+            self._aside -= _Segment(kept[0], kept[0].stat().st_size).on_disk()
+            kept.pop(0).unlink()
+        if segment.on_disk() > room:
+            return False
+        segment.path.rename(self._folder / f"{_ASIDE}{segment.path.name}")
+        self._aside += segment.on_disk()
+        return True
+
+    def _load_all(self) -> None:
+        """Read every segment, in the order in which they were written."""
+        read: list[tuple[int, _Segment, list[Record | Lost]]] = []
+        for path in sorted(self._folder.iterdir()):
+            if path.name.startswith(_ASIDE):
+                self._aside += _Segment(path, path.stat().st_size).on_disk()
+            if (name := _SEGMENT.fullmatch(path.name)) is None:
+                continue
+            try:
+                found = list(records(data := path.read_bytes()))
+            except OSError as err:
+                self.damage.append(Damage(path.name, 0, 0, f"it cannot be read ({err.strerror}) and is left as it is"))
+                continue
+            number = self._number(path, found) or int(name[1])
+            self._last = max(self._last, int(name[1]), number)
+            if found and isinstance(found[-1], Lost) and found[-1].torn:  # of an act that was not made
+                os.truncate(path, found[-1].offset)
+                data = data[: found.pop().offset]
+            read.append((number, _Segment(path, len(data)), found))
+        for _, segment, found in sorted(read, key=lambda one: one[0]):
+            self._segments.append(segment)
+            for one in found:
+                if isinstance(one, Lost):
+                    self._lost(one, segment)
+                else:
+                    if one.mended:
+                        segment.damaged = True
+                        self._note(segment, one.offset, len(one.payload), f"{one.mended} was mended", mended=True)
+                    self._replay(one, segment)
+        self.orphans = sum(any(kind != _Kind.TRACE for kind, _ in told) for number, told in self._early.items()
+                           if number not in self._over)
+        self._early.clear()
+        self._over.clear()
+
+    def _note(self, segment: _Segment, offset: int, length: int, what: str, mended: bool = False) -> None:
+        self.damage.append(Damage(segment.path.name, offset, length, what, mended))
+
+    @staticmethod
+    def _number(path: Path, found: list[Record | Lost]) -> int:
+        """The number in a segment's header; 0 for one of the first format."""
+        for one in found[:1]:
+            if isinstance(one, Record) and one.payload[0] == _Kind.HEADER:
+                told, _, number = _HEADER.unpack_from(one.payload, _HEAD.size)
+                if told > FORMAT:
+                    raise FolderNewer(f"{path} was written by a newer program, in format {told}; this one reads "
+                                      f"up to {FORMAT}: start that program again, or give it time to end its work")
+                return int(number)
+        return 0
+
+    def _lost(self, lost: Lost, segment: _Segment) -> None:
+        """A stretch that cannot be read: an attempt or an end of any message that is open by then may be missing."""
+        segment.damaged = True
+        salvaged = self._salvaged(lost.payload, segment)
+        self._note(segment, lost.offset, lost.length, "it is lost" if salvaged is None else
+            f"the body of message {salvaged.id} is lost, and it ends undelivered")
+        for entry in self.entries.values():
+            if not entry.doubtful:
+                entry.doubtful, entry.whole_until = True, self.written_until
+
+    def _salvaged(self, payload: bytes, segment: _Segment) -> Entry | None:
+        """A message whose record is damaged, if all but its body can be read: it is owed its end."""
+        if len(payload) < _HEAD.size + _TAKEN.size or payload[0] != _Kind.TAKEN:
+            return None
+        number = _HEAD.unpack_from(payload)[1]
+        if number in self._home or number in self._over or not number:
+            return None
+        try:
+            entry = _entry(number, payload[_HEAD.size :], call=False)
+        except (ValueError, TypeError, struct.error):
+            return None
+        entry.body, entry.bodiless = b"", True
+        self._open(entry, segment)
+        return entry
+
+    def _open(self, entry: Entry, segment: _Segment) -> None:
+        self.entries[entry.number] = entry
+        self._home[entry.number] = segment
+        segment.open += 1
+        for kind, rest in self._early.pop(entry.number, ()):
+            self._more(kind, entry, rest)
+
+    def _replay(self, record: Record, segment: _Segment) -> None:
+        kind, number = _HEAD.unpack_from(record.payload)
+        rest = record.payload[_HEAD.size :]
         self.next_number = max(self.next_number, number + 1)
-        if kind in (_Kind.TAKEN, _Kind.CALL):
-            deadline, length = _TAKEN.unpack_from(rest)
-            start = _TAKEN.size + length
-            wire_id, class_name, dest, key = json.loads(rest[_TAKEN.size : start])
-            self.entries[number] = Entry(
-                number, wire_id, class_name, dest, deadline, key, rest[start:], call=kind == _Kind.CALL)
-            self._home[number] = segment
-            segment.open += 1
-        elif (entry := self.entries.get(number)) is None:
-            return  # of a message that is over, whose segment is gone
-        elif kind == _Kind.ATTEMPT:
+        try:
+            if kind in (_Kind.TAKEN, _Kind.CALL):
+                if number in self._home or number in self._over:
+                    segment.damaged = True
+                    self._note(segment, record.offset, len(record.payload), "it is there twice; the first counts")
+                    return
+                self._open(_entry(number, rest, call=kind == _Kind.CALL), segment)
+            elif kind == _Kind.CLOSED:
+                self._over.add(number)
+                if number in self._home:
+                    self._forget(number)
+            elif (entry := self.entries.get(number)) is not None:
+                self._more(kind, entry, rest)
+            elif number not in self._over and kind != _Kind.HEADER:
+                self._early.setdefault(number, []).append((kind, rest))  # its segment is gone, or comes later
+        except (ValueError, TypeError, struct.error) as err:  # whole, and yet not what this program writes
+            segment.damaged = True
+            self._note(segment, record.offset, len(record.payload), f"it cannot be understood: {err}")
+
+    def _more(self, kind: int, entry: Entry, rest: bytes) -> None:
+        """What a later record tells of a message that is open."""
+        if kind == _Kind.ATTEMPT:
             attempt, sent_at, zone = _ATTEMPT.unpack(rest)
-            while len(entry.attempts) < attempt:  # one that could not be written was not made
-                entry.attempts.append(Attempt(sent_at, zone, may_have_run=False, settled=True))
+            self.written_until = max(self.written_until, sent_at)
+            if attempt < len(entry.attempts):
+                return  # told already
+            while len(entry.attempts) < attempt:  # one that could not be written was not made, a lost one may have been
+                entry.attempts.append(Attempt(entry.whole_until, zone) if entry.doubtful else
+                    Attempt(sent_at, zone, may_have_run=False, settled=True))
             entry.attempts.append(Attempt(sent_at, zone))
         elif kind == _Kind.OUTCOME:
             attempt, may_have_run = _OUTCOME.unpack(rest)
@@ -222,8 +372,17 @@
                 entry.attempts[attempt].settled = True
         elif kind == _Kind.END:
             handed_back, retry_in = _END.unpack(rest)
-            entry.end = End(bool(handed_back), retry_in)
+            entry.end = End(bool(handed_back), retry_in if math.isfinite(retry_in) and retry_in > 0 else 0.0)
         elif kind == _Kind.TRACE:
             entry.trace = rest
-        elif kind == _Kind.CLOSED:
-            self._forget(number)
+
+
+def _entry(number: int, rest: bytes, call: bool) -> Entry:
+    """A message as its TAKEN record tells it; ValueError, TypeError or struct.error where it cannot be."""
+    deadline, length = _TAKEN.unpack_from(rest)
+    start = _TAKEN.size + length
+    wire_id, class_name, dest, key = json.loads(rest[_TAKEN.size : start])
+    if not (isinstance(wire_id, str) and isinstance(class_name, str) and type(dest) is int and math.isfinite(deadline)
+            and (key is None or isinstance(key, str))):
+        raise TypeError("a field is of the wrong type")
+    return Entry(number, wire_id, class_name, dest, deadline, key, rest[start:], call=call)
--- a/calicohitch/net/endpoints.py
+++ b/calicohitch/net/endpoints.py
@@ -104,7 +104,7 @@
         wanted: Callable[[], bool],
     ) -> Result:
         """One attempt. Where it did not end well the connection is closed; there is no hidden resend.
-        A new connection takes its time, and what was decided before may no longer hold: `wanted` says."""
+        A new connection takes its time, and a process may stand still: `wanted` says whether what was decided holds."""
         pool = (endpoint, address)
         connection: ClientConnection | None = None
         response: Response | None = None
@@ -117,9 +117,9 @@
                 stale = connection is not None
                 if connection is None:
                     connection = await self._connect(address)
-                    if not wanted():
-                        unsent = True
-                        return Result(Outcome.MOOT)
+                if not wanted():
+                    unsent, stale = True, False
+                    return Result(Outcome.MOOT)
                 if call.marks:
                     follow(call.marks, connection, stale, self._clock)
                 response = await connection.request("POST", "/v1/messages", headers_of(call, address), call.body)
--- a/calicohitch/net/notices.py
+++ b/calicohitch/net/notices.py
@@ -38,10 +38,13 @@
     """Sends notices in order until each is acknowledged; open messages bound how many can wait."""
 
     def __init__(
-        self, address: Address, acknowledged: Callable[[int], None], leases: Leases | None = None
+        self, address: Address, acknowledged: Callable[[int], None], leases: Leases | None = None,
+        may_act: Callable[[], bool] = lambda: True,
     ) -> None:
+        """`may_act`: asked before each request; while it says no, nothing is sent."""
         lease = (leases, Holder.NOTICES) if leases else None
         self._agent, self._acknowledged = KeptConnection(address, lease=lease), acknowledged
+        self._may_act = may_act
         self._waiting: deque[Notice] = deque()
         self._news = anyio.Event()
         self._failures = 0
@@ -63,6 +66,9 @@
             while not self._waiting:
                 self._news = anyio.Event()
                 await self._news.wait()
+            if not self._may_act():
+                await anyio.sleep(_PAUSE_S)
+                continue
             batch = [self._waiting[n] for n in range(min(most, len(self._waiting)))]
             try:
                 status = await self._post("".join(notice.line() + "\n" for notice in batch).encode())
--- a/calicohitch/net/relay.py
+++ b/calicohitch/net/relay.py
@@ -24,6 +24,7 @@
 from ..core.memory import CallMemory
 from ..core.seam import Call, Delivery, Ended, How, Refusal, Reply, Result, Submission
 from ..journal import Attempt, End, Entry, Journal, JournalFull
+from ..recovery import doubts
 from ..rules import Sender
 from .discovery import Directory, Discovery, ListError, Member
 from .endpoints import Endpoints
@@ -36,6 +37,7 @@
 
 _LIST_S = 0.3
 _OVERDUE_MS = 100.0
+_TOLD_DAMAGES = 20  # stretches of the journal that are logged one by one
 
 
 @dataclass(slots=True, eq=False)
@@ -102,7 +104,7 @@
         backoff = Backoff(settings.couriers, config.seed)
         self._discovery = Discovery(config.discovery, self._directory, self._listed, backoff, self.leases)
         self._waits: dict[int, float] = {}  # destination, or endpoint where those are routes apart -> its end
-        self._notices = Notices(config.discovery, self._closed, self.leases)
+        self._notices = Notices(config.discovery, self._closed, self.leases, journal.may_act)
         self._endpoints = Endpoints(
             clock,
             tuple(report.name for report in settings.reports),
@@ -372,9 +374,11 @@
         return ~entry.endpoint if self._config.settings.kind(entry).routes_apart else entry.dest
 
     def _wanted(self, action: i.Send, member: Member) -> bool:
-        """Whether a call may still go out, now that its connection is up. Guards three rules against slow
-        connects: its endpoint may drain by now, its destination have told to wait, its key be forgotten."""
+        """Whether a call may still go out, now that its connection is up. Guards against slow connects and pauses: its
+        endpoint may drain by now, its destination have told to wait, its key be forgotten, its relay be replaced."""
         now, told = self._clock.now(), self._directory.get(action.endpoint)
+        if not self._journal.may_act():  # this process stood still, and a later life has its work
+            return False
         ready = told is not None and told.listed.phase is i.Phase.READY and told.address == member.address
         remembered = not action.not_after or to_micros(now) < action.not_after
         return ready and remembered and self._waits.get(self._route(member.listed), 0.0) <= now
@@ -461,6 +465,7 @@
         """Tell the decisions what an earlier life left open, and send the notices that it still owes."""
         now, arrived = self._clock.now(), []
         for entry in list(self._journal.entries.values()):
+            self._doubt(entry)
             if entry.call:
                 self._remember(entry)
                 continue
@@ -468,8 +473,6 @@
                 self._tracer.recovered(entry)
             if entry.end:
                 self._notices.add(Notice(entry.number, entry.id, entry.end))
-            elif entry.class_name not in self._config.names.classes:
-                self._notices.add(Notice(entry.number, entry.id, End(False)))
             else:
                 self._open[entry.number] = _Open(entry, accepted=True)
                 self._by_id[entry.id] = entry.number
@@ -477,9 +480,44 @@
                     entry.dest, max(0, to_micros(entry.deadline - now)), earlier=_earlier(entry)))
         if self._journal.entries:
             logger.info("from the journal: {} messages, {} notices", len(arrived), len(self._notices))
+        self._tell_damage()
         self._journal.entries.clear()
         self.feed(*arrived)
 
+    def _doubt(self, entry: Entry) -> None:
+        """What is missing of an earlier life's records may have run; what cannot be delivered is ended."""
+        if entry.class_name not in self._config.names.classes:
+            entry.end = entry.end or End(False)
+            return
+        cls = self._config.settings.classes[self._config.names.classes.index(entry.class_name)]
+        try:
+            if (end := doubts.end_of(entry, cls)) is not None:
+                entry.end = end
+                self._journal.end(entry.number, end)
+            elif (missing := doubts.missing_attempt(entry, cls)) is not None:
+                entry.attempts.append(missing)
+                self._journal.attempt(entry.number, len(entry.attempts) - 1, missing.sent_at, missing.zone)
+        except JournalFull as err:  # the next life comes to the same
+            logger.error("journal: {}", err)
+
+    def _tell_damage(self) -> None:
+        """Each damaged stretch by segment and offset, the first few one by one, and what it means for messages."""
+        journal = self._journal
+        if not journal.damage and not journal.orphans:
+            return
+        for one in journal.damage[:_TOLD_DAMAGES]:
+            logger.bind(event="recovery.damage", segment=one.segment, offset=one.offset, length=one.length,
+                mended=one.mended).warning("journal: {} at {}: {} bytes are damaged: {}", one.segment, one.offset,
+                one.length, one.what)
+        entries = journal.entries.values()
+        told = {"stretches": len(journal.damage), "mended": sum(one.mended for one in journal.damage),
+                "doubtful": sum(entry.doubtful for entry in entries), "bodiless": sum(e.bodiless for e in entries),
+                "orphans": journal.orphans}
+        logger.bind(event="recovery.damaged", **told).error(
+            "journal: {stretches} damaged stretches, {mended} of them mended; of {doubtful} open messages an attempt "
+            "or an end may be missing: each goes on as its class allows; {bodiless} have lost their bodies and are "
+            "ended; {orphans} are known by later records only, and nobody can be told of them", **told)
+
     async def _ring(self) -> None:
         """Wake the decisions when a timer of theirs is due."""
         while True:
--- /dev/null
+++ b/calicohitch/recovery/claim.py
@@ -0,0 +1,230 @@
+"""A folder that one life owns.
+
+Each start is a **life** with a number that only grows: the second of its start in Unix time, or one more than the
+last. A life has a file `life-NUMBER`, holds an advisory lock on it (flock(2), which the kernel drops with the process),
+and counts up in it twice a second. The highest number owns the folder:
+
+- its lock is free: its process is dead, and the next life may begin at once;
+- its lock is held and its count moves: it is alive, and a second process waits for it, then ends;
+- its lock is held and its count has stood still for `EXPIRED_S`, by the clock of the process that watches: it is
+  stalled, and a later life may begin. When it goes on it finds the later life's file before its next act.
+
+A claim is believed by its owner for `TERM_S` after the last count, by its monotonic clock, taken before the write; past
+that it has to count again before it acts. `TERM_S` is less than half of `EXPIRED_S`, so no drift of clocks that runs
+machines makes both believe at once. What is left is a pause between the check and the act; `docs/design/recovery.md`
+says what bounds its harm. Each look and change is made under a second lock, `claim.lock`, held for microseconds.
+"""
+
+from __future__ import annotations
+
+import errno
+import fcntl
+import os
+import re
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import anyio
+from loguru import logger
+
+from .problems import FolderInUse, FolderLost, FolderProblem, unusable
+
+TERM_S = 2.0
+EXPIRED_S = 5.0
+RENEW_S = 0.5
+WAIT_S = 10.0  # for a process that is still ending: longer than a drain on the platform, 3.7 s, and than EXPIRED_S
+_LOOK_S = 0.05
+_LOCK = "claim.lock"
+_LIFE = re.compile(r"life-(\d{1,19})")
+_LINE = 64  # bytes of a life's file: written in place, so that a full disk does not end a claim
+_NOT_NOW = (errno.EAGAIN, errno.EACCES)  # what flock says of a lock that another holds
+
+
+class _Busy(Exception):
+    """Another process is at the claim's own lock."""
+
+
+def _flock(fd: int) -> bool:
+    try:
+        fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError as err:
+        if err.errno in _NOT_NOW:
+            return False
+        raise
+    return True
+
+
+class Claim:
+    """This process's hold on a folder. `take` begins a life; `check` before each act; `renew` twice a second."""
+
+    def __init__(self, folder: Path, life: int, fd: int, monotonic: Callable[[], float] = time.monotonic) -> None:
+        self.folder, self.life = folder, life
+        self._fd, self._monotonic = fd, monotonic
+        self._count = 0
+        self._valid_until = 0.0
+        self.lost: str = ""  # why, once a later life has the folder
+        self.on_lost: Callable[[], None] = lambda: None
+
+    def close(self) -> None:
+        """End the life: its lock is free, and its file stays, so that the next number is higher."""
+        if self._fd >= 0:
+            os.close(self._fd)
+            self._fd = -1
+
+    def check(self) -> None:
+        """FolderLost where this life has ended; FolderInUse where it cannot be proved right now that it has not."""
+        if not self.lost and self._monotonic() < self._valid_until:
+            return
+        if not self.lost:
+            self.renew()
+        if self.lost:
+            raise FolderLost(self.lost)
+        if self._monotonic() >= self._valid_until:
+            raise FolderInUse(f"the claim on {self.folder} could not be renewed")
+
+    def renew(self) -> None:
+        """Count up, if no later life has begun; an error of the disk leaves the claim to run out."""
+        began = self._monotonic()
+        if self.lost or self._fd < 0:
+            return
+        try:
+            with _Short(self.folder):
+                lives = _lives(self.folder)
+                if lives and lives[-1] > self.life:
+                    self._lose(f"life {lives[-1]} has the folder {self.folder} now; life {self.life} ends")
+                elif self.life not in lives:
+                    self._lose(f"the folder {self.folder} was emptied or replaced under life {self.life}; it ends")
+                else:
+                    self._write()
+                    self._valid_until = began + TERM_S
+        except _Busy:
+            pass  # a process looks at the claim; the next renewal comes soon
+        except OSError as err:
+            logger.bind(event="claim.error").warning("the claim on {} was not renewed: {}", self.folder, err)
+
+    def _lose(self, why: str) -> None:
+        self.lost = why
+        self.on_lost()
+
+    def _write(self) -> None:
+        self._count += 1
+        line = f"{self.life} {os.getpid()} {self._count}\n".ljust(_LINE)
+        os.pwrite(self._fd, line.encode(), 0)
+
+    @classmethod
+    def begin(cls, folder: Path, after: int, monotonic: Callable[[], float], wall: Callable[[], float]) -> Claim:
+        """Make the next life's file, lock it, and forget the earlier ones; under `claim.lock`."""
+        life = max(after + 1, int(wall()))
+        path = folder / f"life-{life}"
+        fd = os.open(path, os.O_RDWR | os.O_CREAT | os.O_EXCL | os.O_CLOEXEC, 0o600)
+        claim = cls(folder, life, fd, monotonic)
+        try:
+            began = monotonic()
+            if not _flock(fd):
+                raise FolderInUse(f"the folder {folder}: another process locked the file of a life that just began")
+            claim._write()
+            claim._valid_until = began + TERM_S
+            for earlier in _lives(folder):
+                if earlier < life:
+                    (folder / f"life-{earlier}").unlink(missing_ok=True)
+        except BaseException:
+            claim.close()
+            raise
+        return claim
+
+
+class _Short:
+    """`claim.lock`, for the time of one look or change; _Busy where another has it."""
+
+    def __init__(self, folder: Path) -> None:
+        self._path = folder / _LOCK
+
+    def __enter__(self) -> None:
+        self._fd = os.open(self._path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        try:
+            if not _flock(self._fd):
+                raise _Busy
+        except BaseException:
+            os.close(self._fd)
+            raise
+
+    def __exit__(self, *_: object) -> None:
+        os.close(self._fd)
+
+
+def _lives(folder: Path) -> list[int]:
+    return sorted(int(found[1]) for name in os.listdir(folder) if (found := _LIFE.fullmatch(name)))
+
+
+class Watcher:
+    """Looks at a folder until it can be claimed. `look` gives the claim, or None and why not in `why`."""
+
+    def __init__(
+        self, folder: Path, monotonic: Callable[[], float] = time.monotonic, wall: Callable[[], float] = time.time
+    ) -> None:
+        self._folder, self._monotonic, self._wall = folder, monotonic, wall
+        self._seen: tuple[int, bytes] | None = None  # the owner's number and line
+        self._since = 0.0  # it was first seen so
+        self.why = ""
+
+    def look(self) -> Claim | None:
+        """FolderProblem where the folder cannot be used at all."""
+        try:
+            self._folder.mkdir(parents=True, exist_ok=True)
+            with _Short(self._folder):
+                return self._look()
+        except _Busy:
+            self.why = "another process is at its lock"
+        except OSError as err:
+            raise unusable(self._folder, err) from err
+        return None
+
+    def _look(self) -> Claim | None:
+        lives = _lives(self._folder)
+        if not lives or (line := self._held(lives[-1])) is None:
+            return Claim.begin(self._folder, lives[-1] if lives else 0, self._monotonic, self._wall)
+        now = self._monotonic()
+        if (lives[-1], line) != self._seen:
+            self._seen, self._since = (lives[-1], line), now
+        still = now - self._since
+        if still >= EXPIRED_S:
+            logger.bind(event="claim.expired", life=lives[-1]).warning(
+                "life {} holds the folder {} and has stood still for {:.1f} s: it is replaced", lives[-1],
+                self._folder, still)
+            return Claim.begin(self._folder, lives[-1], self._monotonic, self._wall)
+        parts = line.decode("ascii", "replace").split()
+        pid = parts[1] if len(parts) > 1 else "unknown"
+        self.why = f"life {lives[-1]} (process {pid}) has it and is alive"
+        return None
+
+    def _held(self, life: int) -> bytes | None:
+        """What the owner wrote last; None where its process is dead. A file that cannot be read is not held."""
+        try:
+            fd = os.open(self._folder / f"life-{life}", os.O_RDWR | os.O_CLOEXEC)
+        except FileNotFoundError:
+            return None
+        try:
+            return None if _flock(fd) else os.pread(fd, _LINE, 0)
+        finally:
+            os.close(fd)  # and with it the lock, if this look got it
+
+
+async def claimed(folder: Path, wait_s: float = WAIT_S) -> Claim:
+    """Begin a life on the folder; while its owner is alive wait for it, so long at most. FolderProblem otherwise."""
+    watcher = Watcher(folder)
+    until = time.monotonic() + wait_s
+    told = False
+    while (claim := watcher.look()) is None:
+        if time.monotonic() >= until:
+            raise FolderInUse(f"the folder {folder} is in use: {watcher.why}. Stop that process, or give this relay a "
+                              "folder of its own (NODE_STATE)")
+        if not told:
+            told = True
+            logger.bind(event="claim.waiting").info("waiting for the folder {}: {}", folder, watcher.why)
+        await anyio.sleep(_LOOK_S)
+    return claim
+
+
+__all__ = ["EXPIRED_S", "RENEW_S", "TERM_S", "WAIT_S", "Claim", "FolderInUse", "FolderLost", "FolderProblem",
+           "Watcher", "claimed"]
--- a/calicohitch/service.py
+++ b/calicohitch/service.py
@@ -19,6 +19,8 @@
 from .intake.clients import Clients
 from .net.http import listen
 from .net.relay import Relay
+from .recovery.claim import RENEW_S, Claim, claimed
+from .recovery.problems import FolderLost, unusable
 
 if TYPE_CHECKING:
     from .grpc.intake import GrpcIntake
@@ -36,9 +38,26 @@
     operator: Operator | None = None,
 ) -> None:
     """Serve until SIGTERM or SIGINT, then go on with what is open until that is over too. On SIGHUP `reload`
-    is asked for the configuration as it is then. What `operator` does not name stays off."""
-    clock, operator = clock or Clock(), operator or Operator()
-    journal = Journal(config.state, config.limits.disk_mb * _MB)
+    is asked for the configuration as it is then. What `operator` does not name stays off. FolderProblem where the
+    folder cannot be used, is another process's, or became a later life's."""
+    claim = await claimed(config.state)
+    try:
+        await _serve(config, reload, clock or Clock(), operator or Operator(), claim)
+    finally:
+        claim.close()
+    if claim.lost:
+        raise FolderLost(claim.lost)
+
+
+async def _serve(
+    config: Config, reload: Callable[[], Config] | None, clock: Clock, operator: Operator, claim: Claim
+) -> None:
+    """One life, on the folder that it has claimed."""
+    logger.bind(event="claim.taken", life=claim.life).info("life {} has the folder {}", claim.life, config.state)
+    try:
+        journal = Journal(config.state, config.limits.disk_mb * _MB, claim.life, claim.check)
+    except OSError as err:
+        raise unusable(config.state, err) from err
     tracer = _tracer(config, clock, operator)
     grpc = operator.grpc
     if grpc:  # its connections, on both sides, take part in the one limit of descriptors
@@ -52,6 +71,7 @@
         calls = _grpc(relay, grpc, config, clock, stack) if grpc else None
         try:
             async with anyio.create_task_group() as tasks:
+                tasks.start_soon(_hold, claim, tasks.cancel_scope)
                 tasks.start_soon(relay.run)
                 tasks.start_soon(clients.run)
                 if calls:
@@ -74,6 +94,19 @@
                 tracer.close()
 
 
+async def _hold(claim: Claim, everything: anyio.CancelScope) -> None:
+    """Keep the claim on the folder; once a later life has it, end at once and leave all that is open to that one."""
+
+    def end() -> None:
+        logger.bind(event="claim.lost", life=claim.life).error("{}", claim.lost)
+        everything.cancel()
+
+    claim.on_lost = end
+    while not claim.lost:
+        claim.renew()
+        await anyio.sleep(RENEW_S)
+
+
 def _grpc(relay: Relay, settings: GrpcSettings, config: Config, clock: Clock, stack: ExitStack) -> GrpcIntake:
     """The gRPC server before the relay, and the calls behind it."""
     from .grpc.delivery import GrpcDelivery
