Rig of several processes: links with faults, stand-ins, clients, an auditor apart from the relay

tests/fleet/: begun, with scenarios and mutants that are played by tests/fleet/play.py; phases of a return and their reading in calicohitch/recovery/, not yet wired in.

--- /dev/null
+++ b/calicohitch/recovery/phases.py
@@ -0,0 +1,126 @@
+"""The phases of a relay's return, and what it does in each second of it. No I/O, no clock: milliseconds come in.
+
+A return begins with the process and passes, in any order but for the first two and the last: `up` (the program runs),
+`folder` (the journal is read), `list` (discovery was heard), `limits` (every destination that restored work waits for
+has told its limit, or answered without one), `backlog` (no restored message is open), and `full`, when all of these
+have passed. Each is told once, with its time since `up`. A return that takes longer than `LONGEST_MS` is told as it
+stands, and not followed any further.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from enum import Enum
+
+LONGEST_MS = 120_000.0
+SECOND_MS = 1_000.0
+
+
+class Phase(Enum):
+    UP = "up"
+    FOLDER = "folder"
+    LIST = "list"
+    LIMITS = "limits"
+    BACKLOG = "backlog"
+    FULL = "full"
+    UNENDED = "unended"
+
+
+class Did(Enum):
+    """What is counted by second: who came, and how messages ended."""
+
+    RESTORED = "restored"  # messages of an earlier life that were delivered or ended
+    FRESH = "fresh"
+    REFUSED = "refused"
+    SERVED = "served"
+
+
+@dataclass(frozen=True, slots=True)
+class Passed:
+    """One phase: `after` in milliseconds since the process was up; what it tells beside that."""
+
+    phase: Phase
+    after: float
+    facts: dict[str, int] = field(default_factory=dict)
+
+
+class Return:
+    """One relay's return. Feed it what happens; `news` gives what is to be told since it was last asked."""
+
+    def __init__(self, up: float) -> None:
+        self._up = up
+        self._passed: dict[Phase, Passed] = {}
+        self._news: list[Passed] = []
+        self._restored: set[int] = set()
+        self._untold: set[int] = set()  # destinations of restored work without a limit or an answer
+        self._second = 0
+        self._counts: Counter[Did] = Counter()
+        self.seconds: list[tuple[int, dict[str, int]]] = []  # those that are over and not told yet
+        self._pass(Phase.UP, up)
+
+    @property
+    def over(self) -> bool:
+        return Phase.FULL in self._passed or Phase.UNENDED in self._passed
+
+    def folder(self, now: float, restored: dict[int, int], damaged: int) -> None:
+        """The journal is read: restored messages with their destinations, and damaged stretches."""
+        self._restored, self._untold = set(restored), set(restored.values())
+        self._pass(Phase.FOLDER, now, restored=len(restored), damaged=damaged)
+        self._look(now)
+
+    def listed(self, now: float) -> None:
+        """Discovery was heard."""
+        self._pass(Phase.LIST, now)
+        self._look(now)
+
+    def answered(self, now: float, dest: int) -> None:
+        """A destination answered a call, with its limit where it has one."""
+        if self._untold:
+            self._untold.discard(dest)
+            self._look(now)
+
+    def did(self, now: float, what: Did, number: int = 0) -> None:
+        """Something to count; the end of a restored message goes by its number."""
+        if self.over:
+            return
+        self._roll(now)
+        if number in self._restored:
+            self._restored.discard(number)
+            self._counts[Did.RESTORED] += 1
+        self._counts[what] += 1
+        self._look(now)
+
+    def news(self, now: float) -> list[Passed]:
+        """What passed since the last call."""
+        if not self.over:
+            self._roll(now)
+            self._look(now)
+            if now - self._up > LONGEST_MS:
+                self._pass(Phase.UNENDED, now, restored=len(self._restored), untold=len(self._untold))
+        told, self._news = self._news, []
+        return told
+
+    def _look(self, now: float) -> None:
+        if Phase.FOLDER not in self._passed:
+            return
+        if not self._restored:
+            self._pass(Phase.BACKLOG, now)
+            self._untold.clear()  # nothing waits for them any more
+        if not self._untold:
+            self._pass(Phase.LIMITS, now)
+        if self._passed.keys() >= {Phase.LIST, Phase.LIMITS, Phase.BACKLOG}:
+            self._pass(Phase.FULL, now)
+
+    def _pass(self, phase: Phase, now: float, **facts: int) -> None:
+        if phase not in self._passed:
+            self._passed[phase] = passed = Passed(phase, max(0.0, now - self._up), facts)
+            self._news.append(passed)
+
+    def _roll(self, now: float) -> None:
+        second = int((now - self._up) // SECOND_MS)
+        if second > self._second:
+            if self._counts:
+                self.seconds.append((self._second, {what.value: count for what, count in self._counts.items()}))
+            self._counts.clear()
+            self._second = second
--- /dev/null
+++ b/tests/fleet/mutants.py
@@ -0,0 +1,104 @@
+"""Seeded faults in the relay, each of which the auditor must find. Run in a relay's process before the program:
+
+    Rig(code="from fleet.mutants import plant; plant('deaf to waits')")
+
+A mutant changes one function of the program, in that process alone.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+MUTANTS: dict[str, tuple[str, Callable[[], None]]] = {}  # name -> the rule that is broken, and how
+
+
+def _mutant(name: str, rule: str) -> Callable[[Callable[[], None]], Callable[[], None]]:
+    def keep(plant: Callable[[], None]) -> Callable[[], None]:
+        MUTANTS[name] = rule, plant
+        return plant
+
+    return keep
+
+
+def plant(name: str) -> None:
+    MUTANTS[name][1]()
+
+
+@_mutant("deaf to waits", "wait")
+def _waits() -> None:
+    from calicohitch.net import endpoints
+
+    endpoints.read_wait = lambda _text: 0.0
+
+
+@_mutant("blind to drains", "drain")
+def _drains() -> None:
+    from calicohitch.interface import Phase
+    from calicohitch.net import discovery
+
+    discovery._PHASES = {"Ready": Phase.READY, "Terminating": Phase.READY}
+
+
+@_mutant("silent about ends", "lost")
+def _notices() -> None:
+    from calicohitch.net.notices import Notices
+
+    Notices.add = lambda self, notice: None  # type: ignore[method-assign]
+
+
+@_mutant("no record of attempts", "repeat")
+def _attempts() -> None:
+    from calicohitch.journal import Journal
+
+    Journal.attempt = lambda self, *_: None  # type: ignore[method-assign]
+
+
+@_mutant("no record of ends", "repeat")
+def _closed() -> None:
+    from calicohitch.journal import Journal
+
+    def closed(self: Any, number: int) -> None:
+        if number in self._home:
+            self._forget(number)
+
+    Journal.closed = closed  # type: ignore[method-assign]
+    _attempts()
+
+
+@_mutant("nothing is taken up again", "lost")
+def _recover() -> None:
+    from calicohitch.net.relay import Relay
+
+    Relay._recover = lambda self: None  # type: ignore[method-assign]
+
+
+@_mutant("a hidden second call", "two out")
+def _twice() -> None:
+    import anyio
+
+    from calicohitch.net.endpoints import Endpoints
+
+    once = Endpoints.call
+
+    async def call(self: Any, *args: Any) -> Any:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(once, self, *args)
+            return await once(self, *args)
+
+    Endpoints.call = call  # type: ignore[method-assign]
+
+
+@_mutant("the folder is anybody's", "earlier life")
+def _claim() -> None:
+    from calicohitch.recovery.claim import Claim
+
+    Claim.check = lambda self: None  # type: ignore[method-assign]
+    Claim.renew = lambda self: None  # type: ignore[method-assign]
+
+
+@_mutant("keys are remembered for ever", "repeat")
+def _window() -> None:
+    from calicohitch import rules
+
+    rules.repeatable = lambda _message, _now: True
--- /dev/null
+++ b/tests/fleet/scenarios.py
@@ -0,0 +1,220 @@
+"""The rig's scenarios: each plays one fault on a small fleet under load and returns the auditor's report.
+
+All draw on one seed. Times are seconds since the run began.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import Awaitable, Callable
+
+from fleet.auditor import Report
+from fleet.links import Fault, cut_off, one_way_up
+from fleet.parties import Destination
+from fleet.rig import Rig
+
+Scenario = Callable[[int, str], Awaitable[Report]]
+SCENARIOS: dict[str, Scenario] = {}
+
+
+def _scenario(play: Scenario) -> Scenario:
+    SCENARIOS[play.__name__] = play
+    return play
+
+
+def _dests(limit: float = 0.0, wait_ms: float = 0.0) -> tuple[Destination, ...]:
+    return Destination(1, limit, tells_wait_ms=wait_ms), Destination(2, limit, tells_wait_ms=wait_ms)
+
+
+async def _herd(seed: int, code: str, relays: int, killed: int, between: Callable[[Rig, list[str]], None] | None = None,
+                limit: float = 60.0, again_after_s: float | None = None, seconds: float = 5.0) -> Report:
+    """Most relays are killed in the same instant under load, and come back together."""
+    async with Rig(seed, relays, _dests(limit), code=code) as rig:
+        await rig.start()
+        began = rig.story.now()
+        rig.load(seconds, 110.0)
+        await rig.at(began + seconds * 0.35)
+        names = rig.random.sample(sorted(rig.relays), killed)
+        rig.kill(*names)
+        if between:
+            between(rig, names)
+        await rig.at(began + seconds * 0.35 + 0.6)
+        for name in names:
+            rig.begin(name)
+        if again_after_s is not None:
+            await asyncio.sleep(again_after_s)
+            rig.kill(*names)
+            for name in names:
+                rig.begin(name)
+        await rig.come(*names)
+        rig.discovery.silent = False
+        await rig.settled(9.5)
+        return rig.audit()
+
+
+@_scenario
+async def herd(seed: int, code: str = "") -> Report:
+    return await _herd(seed, code, 8, 6)
+
+
+@_scenario
+async def herd_damaged(seed: int, code: str = "") -> Report:
+    """A third of the folders lost, a third damaged."""
+    def harm(rig: Rig, names: list[str]) -> None:
+        rig.lose(*names[::3])
+        rig.damage(*names[1::3], length=rig.random.choice((1, 30, 512)))
+
+    return await _herd(seed, code, 8, 6, harm)
+
+
+@_scenario
+async def herd_silent(seed: int, code: str = "") -> Report:
+    """Discovery is silent while they come back."""
+    def silence(rig: Rig, _names: list[str]) -> None:
+        rig.discovery.silent = True
+        rig.story.tell("fault", what="discovery silent")
+
+    return await _herd(seed, code, 8, 6, silence)
+
+
+@_scenario
+async def herd_lowered(seed: int, code: str = "") -> Report:
+    """Limits are lowered meanwhile."""
+    def lower(rig: Rig, _names: list[str]) -> None:
+        for dest in rig.dests.values():
+            dest.limit *= 0.4
+        rig.story.tell("fault", what="limits lowered")
+
+    return await _herd(seed, code, 8, 6, lower)
+
+
+@_scenario
+async def herd_twice(seed: int, code: str = "") -> Report:
+    """A second kill 300 ms into the return."""
+    return await _herd(seed, code, 8, 6, again_after_s=0.3)
+
+
+@_scenario
+async def stalled(seed: int, code: str = "") -> Report:
+    """A relay stands still, is replaced on its folder, and goes on."""
+    async with Rig(seed, 1, _dests(), code=code) as rig:
+        await rig.start()
+        later = await rig.add("r0+", 0, rig.relays["r0"].state)
+        rig.load(2.5, 60.0)
+        await rig.at(rig.story.now() + 1.5)
+        for dest in rig.dests.values():
+            dest.fail = True  # so that work is held when it stops
+        await asyncio.sleep(0.5)
+        rig.signal(signal.SIGSTOP, "r0")
+        waiting = asyncio.ensure_future(rig.hand_in("scores", 1, rig.relays["r0"], "late.0", 4.0))
+        await asyncio.sleep(0.3)
+        rig.leave("r0")
+        rig.begin(later.name)
+        await rig.come(later.name)
+        await asyncio.sleep(0.5)
+        rig.story.tell("replaced", relay="r0")
+        for dest in rig.dests.values():
+            dest.fail = False
+        rig.signal(signal.SIGCONT, "r0")
+        await asyncio.sleep(0.2)
+        with_port = [rig.hand_in("scores", 1, rig.relays["r0"], f"probe.{n}", 3.0) for n in range(3)]
+        await asyncio.gather(*with_port)
+        await waiting
+        await rig.settled(4.0)
+        return rig.audit()
+
+
+@_scenario
+async def shared(seed: int, code: str = "") -> Report:
+    """Two relays are given one folder by mistake: the second ends, the first goes on."""
+    async with Rig(seed, 1, _dests(), code=code) as rig:
+        await rig.start()
+        second = rig.begin((await rig.add("second", 0, rig.relays["r0"].state)).name)
+        rig.load(4.0, 60.0)
+        assert second.process
+        code_of = await asyncio.to_thread(second.process.wait, 20)
+        rig.story.tell("fault", what=f"second ended with {code_of}")
+        if code_of != 75 or "is in use: life" not in second.log():
+            raise AssertionError(f"the second process ended with {code_of}:\n{second.log()}")
+        await rig.settled(8.5)
+        return rig.audit()
+
+
+@_scenario
+async def rolled_back(seed: int, code: str = "") -> Report:
+    """A folder is put back as it was some seconds ago: what ended since does not go again, by class."""
+    async with Rig(seed, 2, _dests(), code=code) as rig:
+        await rig.start()
+        for dest in rig.dests.values():
+            dest.hang = True
+        rig.load(1.0, 60.0)
+        await rig.at(rig.story.now() + 1.0)
+        copy = rig.copy("r0")
+        for dest in rig.dests.values():
+            dest.hang = False
+        await asyncio.sleep(2.0)
+        rig.kill("r0")
+        rig.roll_back("r0", copy)
+        rig.begin("r0")
+        await rig.come("r0")
+        await rig.settled(8.5)
+        return rig.audit()
+
+
+@_scenario
+async def links(seed: int, code: str = "") -> Report:
+    """Links to endpoints fail in every way while a rolling restart goes on."""
+    async with Rig(seed, 4, _dests(), code=code) as rig:
+        await rig.start()
+        rig.load(7.0, 80.0)
+        faults = [one_way_up(), Fault(stall_up=True), Fault(stall_down=True), Fault(refuse=True), cut_off(),
+                  Fault(delay_s=0.2), Fault(cut_after=rig.random.randrange(1, 400))]
+        rig.random.shuffle(faults)
+        names = list(rig.relays)
+        for n, fault in enumerate(faults):
+            link = rig.random.choice(list(rig.relays[names[n % 4]].links.values()))
+            link.fault = fault
+            rig.story.tell("fault", what=f"link of {link.name}: {fault}")
+            if n in (2, 4):
+                name = names[(n + 1) % 4]
+                rig.signal(signal.SIGTERM if n == 2 else signal.SIGKILL, name)
+                process = rig.relays[name].process
+                assert process
+                await asyncio.to_thread(process.wait, 20)
+                rig.begin(name)
+                await rig.come(name)
+            await asyncio.sleep(0.7)
+            link.fault = Fault()
+        await rig.settled(9.5)
+        return rig.audit()
+
+
+@_scenario
+async def drains(seed: int, code: str = "") -> Report:
+    """Endpoints are replaced one after the other, as destinations tell waits."""
+    async with Rig(seed, 3, _dests(25.0, 700.0), code=code) as rig:
+        await rig.start()
+        rig.load(5.0, 80.0)
+        for name in ("s-1-0", "s-2-1"):
+            await asyncio.sleep(1.2)
+            rig.discovery.list(name, rig.endpoints[name].dest.number, "Terminating")
+            rig.story.tell("fault", what=f"{name} drains")
+        await rig.settled(9.0)
+        return rig.audit()
+
+
+@_scenario
+async def outage(seed: int, code: str = "") -> Report:
+    """A destination loses most answers and stays away for longer than a key is remembered."""
+    async with Rig(seed, 2, _dests(), code=code) as rig:
+        await rig.start()
+        rig.load(1.5, 40.0, ("orders", "entries"))
+        await asyncio.sleep(0.7)
+        for dest in rig.dests.values():
+            dest.fail = True
+        await asyncio.sleep(6.6)
+        for dest in rig.dests.values():
+            dest.fail = False
+        await rig.settled(4.0)
+        return rig.audit()
