--- a/calicohitch/core/common_share.py
+++ b/calicohitch/core/common_share.py
@@ -5,8 +5,12 @@
 those to whom much comes send much, and where the shares have settled all send the limit, however many they are and
 however uneven their messages. The share grows slowly while some allowance is left, shrinks with what is missing, and is
 cut at once by a refusal, as in TCP (additive increase, multiplicative decrease: Chiu and Jain 1989): refused calls may
-use the limit up as well, and then nothing gets through before all send less. Times are microseconds, rates calls a
-second.
+use the limit up as well, and then nothing gets through before all send less.
+
+A courier among very many hears an answer every few seconds only, and while a lowered limit is learned by refusals
+nothing gets through. So a limit that is told anew changes the share at once, in proportion; growth counts all of the
+time since the last answer; and before the first answer the list's word for the limit stands in for it. Times are
+microseconds, rates calls a second.
 """
 
 from __future__ import annotations
@@ -19,12 +23,16 @@
 _SECOND = 1_000_000
 _VERY_MANY = 100  # couriers: to 2 to 4 equal parts serve more (0.75 for 0.59 in the simulator), to 192 common shares
 _ENOUGH = 0.25  # share of the allowance left above which a courier sends more, and below which it sends less
-_MORE, _LESS = 0.1, 0.3  # a second, by a factor of e: news are up to 0.8 s old, so faster growth overshoots
+_MORE, _LESS = 0.05, 0.3  # a second, by a factor of e: news are up to 0.8 s old, so faster growth overshoots
+_MUCH, _FAST = 0.7, 0.2  # share left from which growth is faster, and how much faster where all is left
+_LOOKS_AHEAD = 3.0  # seconds without an answer that growth makes up for at most
 _CUT, _CUT_APART = 0.5, 1.0 * _SECOND  # by a refusal, times; those that follow within so long are of the same excess
 _MOST, _LEAST = 1.5, 0.1  # times what comes: more than 1 serves what was held
-_FLOOR = 0.3  # of its equal part that a courier may always send: it may not know yet what will come to it
-_SCARCE = 0.2  # share of the allowance left, in the mean over answers, below which the rate falls at once
+_FLOOR = 0.5  # of its equal part that a courier may always send: most have less to send, and what comes is seen late
+_SCARCE = 0.1  # share of the allowance left, in the mean over answers, below which the rate falls at once
 _LOOKS_BACK = 8 * _SECOND  # what came counts for less by a factor of e after so long
+_LOWERED, _RAISED = 0.7, 1.5  # times the limit as known: past these a report is no noise (up to 0.13) but a new limit
+_SMOOTH = 0.5  # weight of one report in the limit, otherwise
 
 
 class CommonShare(Share):
@@ -38,6 +46,24 @@
         self._cut_at = -math.inf
         self._born: int | None = None  # when the first message came
         self._came, self._came_at = 0.0, 0  # messages a second, in the mean up to then
+        self._recalled = 0.0  # messages a second in an earlier life
+
+    def suppose(self, now: int, limit: float) -> None:
+        """What the list says of the limit, until an answer tells it."""
+        if not self._heard and len(self._places) == 2 and 0 < limit < math.inf:
+            self._refill(now)
+            self.limit = limit
+
+    def state(self) -> tuple[float, float, float]:
+        return self.limit if self._heard else 0.0, self._times, self._came
+
+    def recall(self, limit: float, times: float, came: float) -> None:
+        """Go on from what an earlier life knew: a limit that was lowered or raised meanwhile still changes the
+        share."""
+        if limit > 0:
+            super().recall(limit, times, came)
+            self._times = min(_MOST, max(_LEAST, times))
+            self._recalled = came
 
     def came(self, now: int, share: float = 1.0) -> None:
         """A message came, of which so much is for this route."""
@@ -47,6 +73,18 @@
         self._came = self._came * self._faded(now) + share * _SECOND / _LOOKS_BACK
         self._came_at = now
 
+    def _limited(self, now: int, limit: float) -> None:
+        """A limit is told: a new one changes what all send in proportion, before refusals teach it; from what comes,
+        since a share above it was not used up."""
+        change = limit / self.limit if self.limit and self._heard else 1.0
+        if change < _LOWERED:
+            self._times, self._cut_at = max(_LEAST, min(self._times, 1.0) * change), now
+        elif change > _RAISED:
+            self._times, self._left = min(_MOST, self._times * change), max(self._left, 0.5)
+        elif self._heard:
+            limit = self.limit + _SMOOTH * (limit - self.limit)
+        self.limit = limit
+
     def _adjust(self, now: int, since: int, left: float, full: bool) -> None:
         if now - self._cut_at <= _CUT_APART:
             return
@@ -54,8 +92,9 @@
             self._times, self._cut_at = max(_LEAST, min(self._times, 1 / _CUT) * _CUT), now
             return
         above = left - _ENOUGH
-        pull = _MORE * above / (1 - _ENOUGH) if above > 0 else _LESS * above / _ENOUGH
-        self._times *= math.exp(pull * min(1.0, since / _SECOND))
+        more = _MORE + _FAST * max(0.0, left - _MUCH) / (1 - _MUCH)
+        pull = more * above / (1 - _ENOUGH) if above > 0 else _LESS * above / _ENOUGH
+        self._times *= math.exp(pull * min(_LOOKS_AHEAD, since / _SECOND))
         self._times = min(_MOST, max(_LEAST, self._times))
 
     def rate(self) -> float:
@@ -66,11 +105,12 @@
         return math.exp(-max(0, now - self._came_at) / _LOOKS_BACK)
 
     def _demand(self) -> float:
-        """Messages a second that come to this courier; its equal part stands for the time before it saw any."""
+        """Messages a second that come to this courier; for the time before it saw any stands what came in an earlier
+        life, or its equal part."""
         if not self.limit or self._born is None:
             return 0.0
         unseen = math.exp(-max(0, self._at - self._born) / _LOOKS_BACK)
-        return self._came * self._faded(self._at) + unseen * self.part
+        return self._came * self._faded(self._at) + unseen * (self._recalled or self.part)
 
 
 def share_of(couriers: int, fields: Sequence[str]) -> Share:
--- a/calicohitch/core/share.py
+++ b/calicohitch/core/share.py
@@ -34,6 +34,7 @@
         self._left = 1.0  # share of the allowance, in the mean over answers
         self._keep = _KEEP
         self._told_at = 0
+        self._heard = False  # an answer told the limit
         self._tokens, self._at = 1.0, 0  # at most, and fewer after calls; counted up to then
 
     @property
@@ -41,6 +42,17 @@
         """This courier's equal part of the limit."""
         return self.limit / self._couriers
 
+    def suppose(self, now: int, limit: float) -> None:
+        """What the list says of the limit; a few couriers learn it from answers soon enough."""
+
+    def state(self) -> tuple[float, float, float]:
+        """What `recall` takes in a later life."""
+        return self.limit if self._heard else 0.0, 1.0, 0.0
+
+    def recall(self, limit: float, times: float, came: float) -> None:
+        """Go on from what an earlier life knew, before anything is told."""
+        self.limit, self._heard = limit, limit > 0
+
     def came(self, now: int, share: float = 1.0) -> None:
         """A message came, of which so much is for this route; an equal part does not go by that."""
 
@@ -49,16 +61,23 @@
         if len(self._places) != 2 or len(report) <= max(self._places):
             return
         left, limit = (report[at] for at in self._places)
+        if left == limit == 0 and not full:  # it has no limit, whatever was supposed
+            self.limit, self._heard = 0.0, True
         if not (0 < limit < math.inf and 0 <= left <= 1):
             return
         since = max(0, now - self._told_at)
         gain = max(_GAIN, 1 - math.exp(-since / self.fade))
         self._refill(now)
-        self.limit = limit
+        self._limited(now, limit)
+        self._heard = True
         self._left += gain * ((0.0 if full else left) - self._left)
         self._told_at = now
         self._adjust(now, since, left, full)
 
+    def _limited(self, now: int, limit: float) -> None:
+        """A limit is told that is believed."""
+        self.limit = limit
+
     def _adjust(self, now: int, since: int, left: float, full: bool) -> None:
         """Send more or less by one more answer that is believed, `since` after the one before."""
         self._keep = max(_LEAST, self._keep * _CUT) if full else min(_KEEP, self._keep + _EASE)
--- a/calicohitch/interface.py
+++ b/calicohitch/interface.py
@@ -315,7 +315,30 @@
     data: bytes
 
 
-Event = Arrived | Settled | Flowing | Withdrawn | ListTold | Rang | Probed | PeerSaid
+@dataclass(frozen=True, slots=True)
+class RouteWas:
+    """What an earlier life knew of a route; `endpoint` names it where endpoints are routes apart, else None. `share`:
+    limit, times and messages a second, as `core/common_share.py` counts them. `cold_at`, `wait_until`: on this
+    clock."""
+
+    dest: int
+    endpoint: int | None = None
+    share: tuple[float, float, float] = (0.0, 1.0, 0.0)
+    sick: bool = False
+    cold_at: int = -1
+    wait_until: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Recalled:
+    """What an earlier life of this courier knew, told before anything else but the list: the first fresh word replaces
+    it. `on_time`: by class, how many of how many endings were in time."""
+
+    routes: tuple[RouteWas, ...] = ()
+    on_time: tuple[tuple[int, int], ...] = ()
+
+
+Event = Arrived | Settled | Flowing | Withdrawn | ListTold | Rang | Probed | PeerSaid | Recalled
 
 # Actions: what the courier is to do, in this order.
 
--- a/calicohitch/rules.py
+++ b/calicohitch/rules.py
@@ -17,14 +17,14 @@
 
 from .core.common_share import share_of
 from .interface import (Action, Arrived, Cancel, CloseIdle, Effect, Event, Fail, Held, Hold, ListKind,
-    ListTold, MessageClass, Outcome, Phase, Refuse, Send, Settings, Settled, SetTimer, Watch, Withdrawn)
-from .state import SHARED, Call, Destination, Endpoint, Message, Route
+    ListTold, MessageClass, Outcome, Phase, Recalled, Refuse, Send, Settings, Settled, SetTimer, Watch,
+    Withdrawn)
+from .state import SHARED, Call, Destination, Endpoint, Message, Route, conformance, known, recall, smoothed
 
 SECOND = 1_000_000  # microseconds
 TIERS = (1.0, 0.9, 0.8, 0.0)  # shares of conformance: the paper's service levels
 WINDOW = 100  # endings that c looks back on, so that one moves it by a tenth of a tier only
 LATEST_START = 2  # mean latencies before the deadline: the design's margin
-MEAN_GAIN = 0.15  # share: weight of a new latency in the mean; about the last dozen calls count
 UNKNOWN = 2  # times the mean over all: a destination that was not called lately may be a slow one
 IDLE = 30 * SECOND  # a destination's mean is forgotten after so long without a call: loads change by then
 REST_GAPS = 3  # usual gaps of a courier's messages: its longest rest, so that a used-up limit can recover
@@ -42,7 +42,6 @@
 CUT = 0.85  # share of the accepted rate at which a refused route is paced
 GROW = 0.1  # share by which the pace grows each second without a refusal
 TIP_ROOM = 0.8  # share of what would push a warming route over that is used where its limit is told
-PACE_SPAN = 2 * SECOND  # span over which accepted calls are counted: the longest usual span of a limit
 PACE_END = 5  # seconds: without a refusal for so long, pacing ends
 ROOM = 0.9  # share of the holding room above which the least worth is given up
 ASK_AGAIN, ASK_MAX = SECOND, 8 * SECOND  # first, longest pause after a failed call to the list
@@ -60,14 +59,6 @@
     return max(cost, gain)
 
 
-def conformance(recent: Sequence[bool]) -> float:  # c: the share of recent endings served before their aim
-    return sum(recent) / len(recent) if recent else 1.0
-
-
-def smoothed(mean: float | None, took: float) -> float:  # a mean with one more call in it
-    return float(took) if mean is None else mean + MEAN_GAIN * (took - mean)
-
-
 def refusable(message: Message) -> bool:  # coming again must be harmless
     keyed_anywhere = message.cls.effect is Effect.KEYED and message.cls.group == "all"
     return message.cls.effect is Effect.SAFE or not message.may_have_run or keyed_anywhere
@@ -78,11 +69,6 @@
     return message.cls.effect is Effect.SAFE or not message.may_have_run or keyed_yet
 
 
-def accepted_rate(route: Route, now: int) -> float:  # calls a second that were accepted lately
-    lately = sum(at > now - PACE_SPAN for at in route.accepted)
-    return lately * SECOND / max(min(PACE_SPAN, now - route.born), SECOND)
-
-
 def pace(route: Route, now: int) -> float:  # calls a second, 0 without a pace; it grows evenly
     since = (now - route.cut_at) / SECOND
     return route.pace * (1 + GROW * since) if since <= PACE_END else 0.0
@@ -129,7 +115,8 @@
         """Take what was seen at `now`; return what to do about it."""
         self._now, self._actions = now, []
         take: dict[type, Callable[[Any], None]] = {
-            Arrived: self._arrived, Settled: self._settled, Withdrawn: self._withdrawn, ListTold: self._list}
+            Arrived: self._arrived, Settled: self._settled, Withdrawn: self._withdrawn, ListTold: self._list,
+            Recalled: self._recalled}
         for event in events:
             take.get(type(event), lambda _: None)(event)
         while self._wakes and self._wakes[0][0] <= now:
@@ -218,9 +205,7 @@
             self._mean = smoothed(self._mean, event.took)
             endpoint.mean, endpoint.fails = smoothed(endpoint.mean, event.took), 0
             dest.crowd, dest.fails = max(0, dest.crowd - 1), 0
-            route.accepted.append(now)
-            while route.accepted[0] <= now - PACE_SPAN:
-                route.accepted.popleft()
+            route.was_accepted(now)
             route.fail_share, route.bad_run = route.fail_share * (1 - FAIL_GAIN), 0
             if route.sick:
                 route.sick, route.cold_at, route.cold_due = False, now, now
@@ -314,7 +299,7 @@
         else:
             if call.sent_at > route.cut_at:
                 share = self._told_share(call.endpoint) or 1.0  # untold: a call a second
-                took = max(accepted_rate(route, now), share)
+                took = max(route.accepted_rate(now), share)
                 route.pace = max(CUT * min(pace(route, now) or took, took), share / 2)
                 route.cut_at = now
             pause = min(int(SECOND / (route.pace or 1.0)) << min(route.bad_run - 1, 3), TRIAL_MAX)
@@ -338,6 +323,7 @@
             if entry.phase is Phase.READY:
                 dest, apart = self._dests[entry.dest], self._set.kind(entry).routes_apart
                 route = dest.routes.setdefault(entry.endpoint if apart else SHARED, self._new_route())
+                route.share.suppose(self._now, entry.weight if self._set.weights != "none" else 0.0)
                 new, name = Endpoint(entry, route, self._random.random()), entry.endpoint
                 dest.ends[name] = self._endpoints.setdefault(name, new)
                 dest.ends[name].told = entry
@@ -350,6 +336,15 @@
             del self._dests[endpoint.told.dest].ends[name]
             self._touched[endpoint.told.dest] = None
 
+    def _recalled(self, event: Recalled) -> None:
+        recall(self._dests, event.routes)
+        for recent, (good, of) in zip(self._recent, event.on_time, strict=False):
+            recent.extend(n * good // of < (n + 1) * good // of for n in range(of))
+
+    def known(self) -> Recalled:
+        """What a later life of this courier had better know."""
+        return Recalled(known(self._dests), tuple((sum(recent), len(recent)) for recent in self._recent))
+
     def _withdrawn(self, event: Withdrawn) -> None:
         message = self._open.get(event.message)
         if message and not message.over:
--- a/calicohitch/state.py
+++ b/calicohitch/state.py
@@ -8,14 +8,26 @@
 import math
 from bisect import bisect_left, insort
 from collections import deque
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
 from .core.share import Share
-from .interface import Arrived, Hold, Listed, MessageClass
+from .interface import Arrived, Hold, Listed, MessageClass, RouteWas
 
+MEAN_GAIN = 0.15  # share: weight of a new latency in the mean; about the last dozen calls count
+SECOND = 1_000_000  # microseconds
+PACE_SPAN = 2 * SECOND  # span over which accepted calls are counted: the longest usual span of a limit
 SHARED = -1  # name of the one route of a destination whose endpoints are not routes apart
 
 
+def conformance(recent: Sequence[bool]) -> float:  # c: the share of recent endings served before their aim
+    return sum(recent) / len(recent) if recent else 1.0
+
+
+def smoothed(mean: float | None, took: float) -> float:  # a mean with one more call in it
+    return float(took) if mean is None else mean + MEAN_GAIN * (took - mean)
+
+
 @dataclass(eq=False)
 class Call:
     """One call out: the messages that travel in it share its slot and its fate."""
@@ -83,6 +95,23 @@
         if until > self.rest_until:
             self.rest_until, self.rest_why = until, why
 
+    def was_accepted(self, now: int) -> None:
+        """A call was taken."""
+        self.accepted.append(now)
+        while self.accepted[0] <= now - PACE_SPAN:
+            self.accepted.popleft()
+
+    def accepted_rate(self, now: int) -> float:
+        """Calls a second that were accepted lately."""
+        lately = sum(at > now - PACE_SPAN for at in self.accepted)
+        return lately * SECOND / max(min(PACE_SPAN, now - self.born), SECOND)
+
+    def recall(self, was: RouteWas) -> None:
+        """What an earlier life knew; the first answer replaces it."""
+        self.share.recall(*was.share)
+        self.sick, self.cold_at = was.sick, was.cold_at
+        self.rest(was.wait_until, Hold.TOLD_WAIT)
+
     def due(self) -> int:
         """When rests, and this courier's part of the limit, let the next call go."""
         return max(self.rest_until, self.share.due())
@@ -151,3 +180,19 @@
         left = {SHARED} | self.ends.keys() if self.ends else set()
         for name in [n for n, route in self.routes.items() if n not in left and route.rest_until <= now]:
             del self.routes[name]
+
+
+def known(dests: Mapping[int, Destination]) -> tuple[RouteWas, ...]:
+    """What there is to recall of all routes."""
+    return tuple(
+        RouteWas(name, None if at == SHARED else at, route.share.state(), route.sick, route.cold_at,
+                 route.rest_until if route.rest_why is Hold.TOLD_WAIT else 0)
+        for name, dest in dests.items() for at, route in dest.routes.items())
+
+
+def recall(dests: Mapping[int, Destination], routes: Sequence[RouteWas]) -> None:
+    """Tell routes that the list has named what an earlier life knew of them."""
+    for was in routes:
+        dest = dests.get(was.dest)
+        if dest and (route := dest.routes.get(SHARED if was.endpoint is None else was.endpoint)):
+            route.recall(was)
