The list, limits, health and on-time shares outlast a restart; phases of a return are told

Times of an earlier life's messages move with the clock; a folder last written over 30 s ago may be a copy, and each open message in it is doubted. A discovery that answers with a lower revision is asked for its whole list.

calicohitch recovery LOGS reads the phases (up, folder, list, limits, backlog, full) from either form of the log.

--- /dev/null
+++ b/calicohitch/commands/recovery.py
@@ -0,0 +1,66 @@
+"""`calicohitch recovery`: how returns went, from relays' logs."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+import click
+
+from ..recovery.reading import KINDS, PHASES, Life, fleet, read
+
+
+class Unreadable(click.ClickException):
+    exit_code = 2
+
+
+@click.command("recovery", help="Tell from relays' logs how each return went, phase by phase, and how the fleet's did. "
+               "Ends with 1 where no log tells of a return, or one did not come to its end.")
+@click.argument("logs", nargs=-1, required=True, type=click.Path(path_type=Path, dir_okay=False))
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+@click.option("--chart", type=click.Path(path_type=Path, dir_okay=False), metavar="FILE",
+              help="Draw what was restored, fresh, refused and served by second (PNG, SVG, PDF); the extra charts.")
+def command(logs: tuple[Path, ...], as_json: bool, chart: Path | None) -> None:
+    lives: list[Life] = []
+    for path in logs:
+        try:
+            with path.open(encoding="utf-8", errors="replace") as lines:
+                lives += read(path.stem, lines)
+        except OSError as err:
+            raise Unreadable(f"{path}: {err.strerror}") from err
+    whole = fleet(lives)
+    if chart:
+        from ..recovery.chart import ChartError, draw
+
+        try:
+            draw(whole, chart)
+        except ChartError as err:
+            raise Unreadable(str(err)) from err
+    if as_json:
+        click.echo(json.dumps({"fleet": whole, "lives": [life.told() for life in lives]}))
+    else:
+        _print(lives, whole)
+    if not lives or any("full" not in life.phases for life in lives):
+        raise SystemExit(1)
+
+
+def _print(lives: list[Life], whole: dict[str, Any]) -> None:
+    if not lives:
+        click.echo("no log tells of a return")
+        return
+    click.echo("relay         life" + "".join(f"{phase:>10}" for phase in PHASES) + "  restored")
+    for life in lives:
+        cells = "".join(f"{life.phases[phase]:>10.0f}" if phase in life.phases else f"{'-':>10}" for phase in PHASES)
+        click.echo(f"{life.relay[:10]:<10}{life.life % 100_000_000:>8}{cells}{life.facts.get('restored', 0):>10}")
+    for word in ("median", "worst"):
+        cells = "".join(
+            f"{whole['phases'][phase][f'{word}_ms']:>10.0f}" if phase in whole["phases"] else f"{'-':>10}"
+            for phase in PHASES)
+        click.echo(f"{word:<18}{cells}")
+    reached = whole["phases"].get("full", {}).get("reached", 0)
+    click.echo(f"{reached} of {whole['returns']} returns came to full service; milliseconds since each process was up")
+    if whole["seconds"]:
+        click.echo("second" + "".join(f"{kind:>10}" for kind in KINDS))
+        for second, counts in whole["seconds"].items():
+            click.echo(f"{second:>6}" + "".join(f"{counts.get(kind, 0):>10}" for kind in KINDS))
--- a/calicohitch/config/operator.py
+++ b/calicohitch/config/operator.py
@@ -26,6 +26,15 @@
     level: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class RecoverySettings:
+    """`folder_wait_ms`: how long a start waits for a process that still has its folder. `waits_outlast`: told waits
+    hold over a restart, which on the first platform ends them."""
+
+    folder_wait_ms: float = 10_000.0
+    waits_outlast: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class Operator:
     """The checked operators' file; the default is what holds without one."""
@@ -34,6 +43,7 @@
     tracing: TracingSettings | None = None
     grpc: GrpcSettings | None = None
     clients: AdmissionSettings | None = None
+    recovery: RecoverySettings = RecoverySettings()
 
 
 LEVELS = ("TRACE", "DEBUG", "INFO", "SUCCESS", "WARNING", "ERROR", "CRITICAL")
@@ -53,8 +63,9 @@
     node = root.child("tracing")
     grpc = root.child("grpc")
     clients = root.child("clients")
+    back = root.child("recovery")
     operator = Operator(logs, _tracing(node, path.parent) if node else None, _grpc(grpc, classes) if grpc else None,
-        _clients(clients) if clients else None)
+        _clients(clients) if clients else None, _recovery(back) if back else RecoverySettings())
     root.done()
     if problems:
         listed = "".join(f"\n  {problem}" for problem in problems)
@@ -62,6 +73,15 @@
     return operator
 
 
+def _recovery(node: kdl.Node) -> RecoverySettings:
+    usual = RecoverySettings()
+    settings = RecoverySettings(
+        float(node.number("folder-wait-ms", usual.folder_wait_ms, 0, 600_000)),
+        node.text("told-waits", "end", ("end", "outlast")) == "outlast")
+    node.done()
+    return settings
+
+
 def _tracing(node: kdl.Node, folder: Path) -> TracingSettings:
     from ..tracing.settings import Budget, CollectorSettings, FileSettings, TracingSettings
 
--- a/calicohitch/net/discovery.py
+++ b/calicohitch/net/discovery.py
@@ -10,7 +10,7 @@
 import anyio
 from loguru import logger
 
-from ..clock import to_micros
+from ..clock import to_micros, to_ms
 from ..config import Address, ConfigError
 from ..interface import Listed, ListKind, ListTold, Phase
 from ..config.settings import Names
@@ -98,6 +98,17 @@
                 self._forget(endpoint)
         return Update(version, complete, tuple(entries))
 
+    def told(self) -> list[dict[str, Any]]:
+        """What is known of all endpoints that are not gone, in discovery's form."""
+        phases = {phase: word for word, phase in _PHASES.items()}
+        return [{"id": m.id, "host_port": str(m.address) if m.address else "", "locality": m.listed.zone,
+                 "flavor": m.listed.kind, "cell": m.listed.dest, "phase": phases[m.listed.phase],
+                 "size": m.listed.weight, "up_since_ms": to_ms(m.listed.since)} for m in self._members.values()]
+
+    def number(self, name: str) -> int | None:
+        """The number of an endpoint that the list has named."""
+        return self._numbers.get(name)
+
     def _forget(self, endpoint: int) -> None:
         if member := self._members.pop(endpoint, None):
             del self._numbers[member.id]
@@ -147,6 +158,11 @@
         self._moved = anyio.Event()  # set by a move
         self.heard = anyio.Event()  # set by the first answer
 
+    @property
+    def version(self) -> int | None:
+        """Of the list as it is at hand; None where there is none."""
+        return self._version
+
     def has(self, version: int) -> None:
         """The whole list is at hand as it was in this version, which may be old."""
         self._version, self._wait_ms = version, _AT_ONCE_MS
@@ -186,6 +202,12 @@
         if response.status != 200:
             raise ListError(f"the answer is {response.status}")
         update = self._directory.read(json.loads(response.body))
+        if self._version is not None and update.version < self._version and not update.complete:
+            # Guards against a list of an earlier life, or of a discovery that lost its own: nothing new would be told.
+            logger.warning("discovery is at revision {} and was at {}: all of its list is asked for", update.version,
+                self._version)
+            self._version = None
+            return
         if update.complete or update.entries:
             self._tell(update.told())
         self._version, self._wait_ms = update.version, WATCH_MS
--- a/calicohitch/net/relay.py
+++ b/calicohitch/net/relay.py
@@ -25,6 +25,8 @@
 from ..core.seam import Call, Delivery, Ended, How, Refusal, Reply, Result, Submission
 from ..journal import Attempt, End, Entry, Journal, JournalFull
 from ..recovery import doubts
+from ..recovery.memory import Memory
+from ..recovery.phases import Did, Return
 from ..rules import Sender
 from .discovery import Directory, Discovery, ListError, Member
 from .endpoints import Endpoints
@@ -37,6 +39,7 @@
 
 _LIST_S = 0.3
 _OVERDUE_MS = 100.0
+_KEEP_S = 0.25  # between two looks at what the next life had better know
 _TOLD_DAMAGES = 20  # stretches of the journal that are logged one by one
 
 
@@ -82,7 +85,13 @@
         tracer: Tracer | None = None,
         speaks: Callable[[str, str, int], int] = lambda *_: 1,
         reserved: int = 0,
+        memory: Memory | None = None,
+        up_at: float | None = None,
     ) -> None:
+        """`memory`: what is kept of the world between lives; without one a life begins knowing nothing. `up_at`: when
+        the process began, on the clock."""
+        self._memory_of_world = memory
+        self.came_back = Return(clock.now() if up_at is None else up_at)
         self._config, self._clock, self._journal = config, clock, journal
         settings = config.settings
         self._sender = Sender(settings, config.seed)
@@ -99,6 +108,7 @@
         self._timer_set = anyio.Event()
         self._tasks: TaskGroup | None = None
         self.ready = self.stopping = False
+        self.heard_since_kept = False
         self.max_clients = config.limits.sockets // 2
         self._directory = Directory(config.names, speaks)
         backoff = Backoff(settings.couriers, config.seed)
@@ -123,6 +133,7 @@
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             tasks.start_soon(_kept_up, self._ring)
+            tasks.start_soon(_kept_up, self._keep)
             tasks.start_soon(_kept_up, self._end_overdue)
             tasks.start_soon(_kept_up, self._notices.run)
             for delivery in self._deliveries.values():
@@ -200,6 +211,8 @@
             self._tracer.taken(number)
         self._open[number] = _Open(entry, told)
         self._by_id[told.id] = number
+        if not self.came_back.over:
+            self.came_back.did(now, Did.FRESH)
         return number
 
     def _take_again(self, entry: Entry, told: Submission) -> int | Refusal:
@@ -294,10 +307,42 @@
             logger.exception("the decisions broke at {}", events)
             return []
 
+    async def _keep(self) -> None:
+        """Tell how the return goes, and store what the next life had better know."""
+        while True:
+            await anyio.sleep(_KEEP_S)
+            if not self.came_back.over:
+                self._tell_return()
+            if self._memory_of_world and self.ready and (self._open or self.heard_since_kept):
+                self.keep()
+
+    def keep(self, force: bool = False) -> None:
+        """Store what is known of the world now."""
+        if self._memory_of_world and self._journal.may_act():
+            self.heard_since_kept = False
+            self._memory_of_world.keep(self._clock.now(), self._sender.known(), self._name_of,
+                str(self._config.discovery), self._discovery.version, self._directory.told, force)
+
+    def _name_of(self, endpoint: int) -> str:
+        member = self._directory.get(endpoint)
+        return member.id if member else ""
+
+    def _tell_return(self) -> None:
+        for passed in self.came_back.news(self._clock.now()):
+            facts = ", ".join(f"{count} {name}" for name, count in passed.facts.items())
+            logger.bind(event="recovery.phase", phase=passed.phase.value, after_ms=passed.after, **passed.facts).info(
+                "return: {} after {:.0f} ms{}", passed.phase.value, passed.after, f" ({facts})" if facts else "")
+        for second, counts in self.came_back.seconds:
+            logger.bind(event="recovery.second", second=second, **counts).info(
+                "return: second {}: {}", second, ", ".join(f"{count} {name}" for name, count in counts.items()))
+        self.came_back.seconds.clear()
+
     def _heard(self, peer: int, data: bytes) -> None:
         self.feed(i.PeerSaid(peer, data))
 
     def _listed(self, told: i.ListTold) -> None:
+        self.came_back.listed(self._clock.now())
+        self.heard_since_kept = True
         if self._tracer:
             self._tracer.listed()
         self.feed(told)
@@ -385,6 +430,10 @@
 
     def _settled(self, message: _Open, attempt: int, endpoint: int, result: Result) -> None:
         number, now = message.entry.number, self._clock.now()
+        if not self.came_back.over:
+            self.came_back.answered(now, message.entry.dest)
+            if result.ended:
+                self.came_back.did(now, Did.SERVED, number)
         message.calls.pop(attempt, None)
         if self._tracer:
             self._tracer.settled(number, attempt, result.outcome, result.wait, result.ended)
@@ -422,6 +471,8 @@
     def _end(self, number: int, end: End) -> None:
         if (message := self._forget(number)) is None:
             return
+        if not self.came_back.over:
+            self.came_back.did(self._clock.now(), Did.REFUSED, number)
         if self._tracer:
             self._tracer.ended(number, end.handed_back, end.retry_in)
         if message.told and message.told.reply:
@@ -452,18 +503,33 @@
         return message
 
     def _read_known(self) -> None:
-        if self._config.known:
+        """The list of the configuration, or a newer one that an earlier life stored."""
+        lists = [(self._config.known, "the configuration")]
+        if memory := self._memory_of_world:
+            revision = self._config.known.get("revision", -1) if self._config.known else -1
+            memory.read(self._clock.now(), str(self._config.discovery), revision if type(revision) is int else -1)
+            if (told := memory.believed) and told.members:
+                stored = {"revision": told.revision, "complete": True, "members": list(told.members)}
+                lists.insert(0, (stored, "an earlier life"))
+        for known, whose in lists:
+            if not known:
+                continue
             try:
-                update = self._directory.read(self._config.known)
+                update = self._directory.read(known)
                 self.feed(update.told(cached=True))
                 if update.complete:
                     self._discovery.has(update.version)
+                return
             except ListError as err:
-                logger.warning("the list in the configuration is left out: {}", err)
+                logger.warning("the list of {} is left out: {}", whose, err)
 
     def _recover(self) -> None:
         """Tell the decisions what an earlier life left open, and send the notices that it still owes."""
         now, arrived = self._clock.now(), []
+        if memory := self._memory_of_world:
+            memory.mend(list(self._journal.entries.values()))
+            if recalled := memory.recalled(self._directory.number, now):
+                self.feed(recalled)
         for entry in list(self._journal.entries.values()):
             self._doubt(entry)
             if entry.call:
@@ -481,6 +547,7 @@
         if self._journal.entries:
             logger.info("from the journal: {} messages, {} notices", len(arrived), len(self._notices))
         self._tell_damage()
+        self.came_back.folder(now, {told.message: told.dest for told in arrived}, len(self._journal.damage))
         self._journal.entries.clear()
         self.feed(*arrived)
 
--- /dev/null
+++ b/calicohitch/recovery/memory.py
@@ -0,0 +1,106 @@
+"""What the relay keeps of the world for its next life, and what it takes over from the last one.
+
+Between the decisions, which know numbers and microseconds of their own clock, and `beliefs`, which knows names and wall
+milliseconds.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import Any
+
+from loguru import logger
+
+from ..clock import to_micros, to_ms
+from ..interface import Recalled, RouteWas
+from ..journal import Entry
+from . import beliefs, clocks
+from .keeper import Keeper
+
+_EVERY_MS = 1_000.0  # between two writes, while something changes or work is open
+
+
+class Memory:
+    """One relay's stored beliefs. `read` once at the start, `keep` now and then."""
+
+    def __init__(self, folder: Path, life: int, classes: Sequence[str], waits_outlast: bool = False) -> None:
+        self._keeper, self._life, self._classes = Keeper(folder), life, classes
+        self._waits_outlast = waits_outlast
+        self._kept_at = -_EVERY_MS
+        self._failed = False
+        self.found: beliefs.Beliefs | None = None
+        self.believed: beliefs.Believed | None = None
+
+    def read(self, wall: float, discovery: str, known_revision: int) -> None:
+        """What an earlier life stored, as far as it is believed at `wall`; the rest is logged once with its age."""
+        try:
+            self.found = self._keeper.read()
+        except beliefs.Unbelievable as err:
+            logger.bind(event="recovery.unread").warning("what an earlier life knew is not believed: {}", err)
+            return
+        if self.found is None:
+            return
+        now = clocks.now(wall)
+        told = self.believed = beliefs.believe(self.found, now, discovery, known_revision, self._classes,
+            self._waits_outlast)
+        for part, age, why in told.left_out:
+            logger.bind(event="recovery.old", part=part, age_ms=age).info(
+                "stored {} of {:.1f} s ago: not believed, {}", part, age / 1e3, why)
+        if told.set_by:
+            logger.bind(event="recovery.clock", set_by_ms=told.set_by).warning(
+                "the wall clock was set by {:+.1f} s since an earlier life: its times are moved", told.set_by / 1e3)
+
+    def mend(self, entries: Sequence[Entry]) -> None:
+        """Move the times of an earlier life's messages to the wall clock as it is now, and doubt them all where the
+        folder may be a copy of long ago: what was tried since is not in it."""
+        told, found = self.believed, self.found
+        if told is None or found is None or not entries:
+            return
+        if told.set_by:
+            for entry in entries:
+                entry.deadline += told.set_by
+                entry.whole_until += told.set_by
+                for attempt in entry.attempts:
+                    attempt.sent_at += told.set_by
+        if told.rolled_back:
+            logger.bind(event="recovery.rolled_back", age_ms=told.passed).warning(
+                "the folder was last written {:.0f} s ago and may be a copy from then: of {} open messages any may "
+                "have been tried since", told.passed / 1e3, len(entries))
+            for entry in entries:
+                if not entry.doubtful:
+                    entry.doubtful, entry.whole_until = True, found.written.wall + told.set_by
+
+    def recalled(self, number: Callable[[str], int | None], wall: float) -> Recalled | None:
+        """What the decisions are told; `number` of an endpoint by its name, None where the list does not name it."""
+        if (told := self.believed) is None:
+            return None
+        routes = []
+        for route in told.routes:
+            endpoint = number(route.endpoint) if route.endpoint else None
+            if route.endpoint and endpoint is None:
+                continue
+            routes.append(RouteWas(route.dest, endpoint, (route.limit, route.times, route.came), route.sick,
+                to_micros(route.cold_since) if route.cold_since else -1, to_micros(route.wait_until)))
+        on_time = tuple(told.on_time.get(name, (0, 0)) for name in self._classes)
+        return Recalled(tuple(routes), on_time)
+
+    def keep(self, wall: float, known: Recalled, name: Callable[[int], str], discovery: str, revision: int | None,
+             members: Callable[[], list[dict[str, Any]]], force: bool = False) -> None:
+        """Store what is known now, once a second at most; `members` in discovery's form."""
+        if not force and wall - self._kept_at < _EVERY_MS:
+            return
+        self._kept_at = wall
+        routes = tuple(
+            beliefs.KnownRoute(was.dest, name(was.endpoint) if was.endpoint is not None else "", *was.share, was.sick,
+                max(0.0, to_ms(was.cold_at)), to_ms(was.wait_until)) for was in known.routes)
+        on_time = dict(zip(self._classes, known.on_time, strict=True))
+        told = beliefs.Beliefs(clocks.now(wall), self._life, discovery, -1 if revision is None else revision,
+            tuple(members()), routes, on_time)
+        try:
+            self._keeper.write(beliefs.encode(told))
+            self._failed = False
+        except OSError as err:  # the journal goes on; the next life starts with less
+            if not self._failed:
+                logger.warning("what is known could not be stored: {}", err)
+            self._failed = True
--- a/calicohitch/service.py
+++ b/calicohitch/service.py
@@ -20,6 +20,7 @@
 from .net.http import listen
 from .net.relay import Relay
 from .recovery.claim import RENEW_S, Claim, claimed
+from .recovery.memory import Memory
 from .recovery.problems import FolderLost, unusable
 
 if TYPE_CHECKING:
@@ -40,9 +41,11 @@
     """Serve until SIGTERM or SIGINT, then go on with what is open until that is over too. On SIGHUP `reload`
     is asked for the configuration as it is then. What `operator` does not name stays off. FolderProblem where the
     folder cannot be used, is another process's, or became a later life's."""
-    claim = await claimed(config.state)
+    clock, operator = clock or Clock(), operator or Operator()
+    up_at = clock.now()
+    claim = await claimed(config.state, operator.recovery.folder_wait_ms / 1e3)
     try:
-        await _serve(config, reload, clock or Clock(), operator or Operator(), claim)
+        await _serve(config, reload, clock, operator, claim, up_at)
     finally:
         claim.close()
     if claim.lost:
@@ -50,7 +53,7 @@
 
 
 async def _serve(
-    config: Config, reload: Callable[[], Config] | None, clock: Clock, operator: Operator, claim: Claim
+    config: Config, reload: Callable[[], Config] | None, clock: Clock, operator: Operator, claim: Claim, up_at: float
 ) -> None:
     """One life, on the folder that it has claimed."""
     logger.bind(event="claim.taken", life=claim.life).info("life {} has the folder {}", claim.life, config.state)
@@ -60,10 +63,12 @@
         raise unusable(config.state, err) from err
     tracer = _tracer(config, clock, operator)
     grpc = operator.grpc
+    memory = Memory(config.state, claim.life, config.names.classes, operator.recovery.waits_outlast)
     if grpc:  # its connections, on both sides, take part in the one limit of descriptors
-        relay = Relay(config, clock, journal, tracer, grpc.speaks, 2 * (config.limits.sockets // 8))
+        relay = Relay(config, clock, journal, tracer, grpc.speaks, 2 * (config.limits.sockets // 8), memory=memory,
+            up_at=up_at)
     else:
-        relay = Relay(config, clock, journal, tracer)
+        relay = Relay(config, clock, journal, tracer, memory=memory, up_at=up_at)
     admission = operator.clients or AdmissionSettings()
     with listen(config.listen, admission.backlog) as listener, ExitStack() as stack:
         logger.bind(event="relay.listening").info("{} listens at {}", config.name, config.listen)
@@ -87,6 +92,7 @@
                     await anyio.sleep(0.05)
                 if tracer:
                     await tracer.drain()
+                relay.keep(force=True)
                 tasks.cancel_scope.cancel()
         finally:
             relay.close()
--- a/tests/fleet/scenarios.py
+++ b/tests/fleet/scenarios.py
@@ -218,3 +218,21 @@
             dest.fail = False
         await rig.settled(4.0)
         return rig.audit()
+
+
+@_scenario
+async def herd_slow(seed: int, code: str = "") -> Report:
+    """Kills in the midst of calls that take long: what was out may have run."""
+    async with Rig(seed, 4, (Destination(1, takes_s=0.4), Destination(2, takes_s=0.4)), code=code) as rig:
+        await rig.start()
+        began = rig.story.now()
+        rig.load(3.5, 60.0)
+        for at in (1.2, 2.6):
+            await rig.at(began + at)
+            names = rig.random.sample(sorted(rig.relays), 3)
+            rig.kill(*names)
+            for name in names:
+                rig.begin(name)
+            await rig.come(*names)
+        await rig.settled(9.5)
+        return rig.audit()
--- /dev/null
+++ b/tests/fleet/test_scenarios.py
@@ -0,0 +1,101 @@
+"""The scenarios that are played each time, several side by side, and the mutants that prove the auditor."""
+auditor."""
+
+from __future__ import annotations
+
+import asyncio
+import subprocess
+import sys
+import unittest
+from pathlib import Path
+
+from fleet.auditor import Report
+from fleet.mutants import MUTANTS
+from fleet.rig import Rig
+from fleet.scenarios import SCENARIOS
+
+SEED = 4
+SHOWN_BY = {  # mutant -> the scenario that brings it out
+    "deaf to waits": "drains", "blind to drains": "drains", "silent about ends": "outage",
+    "no record of attempts": "herd_slow", "no record of ends": "herd_slow", "nothing is taken up again": "herd_slow",
+    "a hidden second call": "drains", "the folder is anybody's": "stalled", "keys are remembered for ever": "outage",
+}
+
+
+async def together(*plays: tuple[str, str]) -> list[Report]:
+    """Scenarios with a mutant each ("" for none), side by side."""
+    return await asyncio.gather(*(
+        SCENARIOS[name](SEED, f"from fleet.mutants import plant; plant({mutant!r})" if mutant else "")
+        for name, mutant in plays))
+
+
+class Scenarios(unittest.TestCase):
+    def kept(self, *names: str) -> None:
+        for name, report in zip(names, asyncio.run(together(*((name, "") for name in names))), strict=True):
+            with self.subTest(name):
+                self.assertFalse(report.findings, report.text())
+                self.assertGreater(report.taken, 20, report.text())
+                self.assertGreater(report.delivered, report.taken / 4, report.text())
+
+    def test_a_herd_comes_back(self) -> None:
+        self.kept("herd", "herd_damaged", "herd_silent", "herd_lowered", "herd_twice")
+
+    def test_folders_and_links(self) -> None:
+        self.kept("stalled", "shared", "rolled_back", "links", "drains", "outage", "herd_slow")
+
+
+class Mutants(unittest.TestCase):
+    def test_each_is_found(self) -> None:
+        self.assertEqual(set(SHOWN_BY), set(MUTANTS))
+        plays = [(scenario, mutant) for mutant, scenario in SHOWN_BY.items()]
+        for (_, mutant), report in zip(plays, asyncio.run(together(*plays)), strict=True):
+            with self.subTest(mutant):
+                self.assertIn(MUTANTS[mutant][0], report.rules(), report.text())
+
+
+class Leavings(unittest.TestCase):
+    def test_nothing_is_left_behind(self) -> None:
+        async def play() -> tuple[list[int], list[int], Path]:
+            async with Rig(1, 2) as rig:
+                await rig.start()
+                processes = [relay.process.pid for relay in rig.relays.values() if relay.process]
+                ports = [link.port for relay in rig.relays.values() for link in relay.links.values()]
+                folder = rig._folder
+                raise KeyboardInterrupt((processes, ports, folder))
+
+        with self.assertRaises(KeyboardInterrupt) as stopped:
+            asyncio.run(play())
+        processes, ports, folder = stopped.exception.args[0]
+        self.assertFalse(folder.exists())
+        for pid in processes:
+            self.assertFalse(Path(f"/proc/{pid}").exists())
+        for port in ports:
+            with self.assertRaises(OSError):
+                asyncio.run(asyncio.wait_for(asyncio.open_connection("127.0.0.1", port), 1))
+
+    def test_a_rig_that_is_killed_outright_takes_its_processes_along(self) -> None:
+        code = ("import asyncio, os, signal, sys; sys.path.insert(0, 'tests')\n"
+                "from fleet.rig import Rig\n"
+                "async def play():\n"
+                "    async with Rig(1, 1) as rig:\n"
+                "        await rig.start()\n"
+                "        print(rig.relays['r0'].process.pid, flush=True)\n"
+                "        os.kill(os.getpid(), signal.SIGKILL)\n"
+                "asyncio.run(play())")
+        done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=60,
+            cwd=Path(__file__).parents[2])
+        pid = int(done.stdout)
+
+        async def gone() -> None:
+            for _ in range(200):
+                stat = Path(f"/proc/{pid}/stat")
+                if not stat.exists() or stat.read_text().rpartition(")")[2].split()[0] == "Z":
+                    return
+                await asyncio.sleep(0.02)
+            self.fail(f"process {pid} lives on")
+
+        asyncio.run(gone())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/recovery/test_beliefs.py
@@ -0,0 +1,210 @@
+"""What is stored of the world, and when it is believed."""
+
+from __future__ import annotations
+
+import dataclasses
+import errno
+import os
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from calicohitch.interface import Recalled, RouteWas
+from calicohitch.journal import Attempt, Entry
+from calicohitch.recovery import beliefs, clocks
+from calicohitch.recovery.beliefs import Beliefs, KnownRoute, Unbelievable, believe, decode, encode
+from calicohitch.recovery.clocks import Between, Moment, between
+from calicohitch.recovery.keeper import Keeper
+from calicohitch.recovery.memory import Memory
+
+WRITTEN = Moment(1_000_000.0, 50_000.0, "boot-1")
+MEMBER = {"id": "s-1", "host_port": "127.0.0.1:9", "cell": 7, "phase": "Ready"}
+
+
+def known(**changes: Any) -> Beliefs:
+    told = Beliefs(WRITTEN, 7, "127.0.0.1:8500", 41, (MEMBER,),
+        (KnownRoute(7, "", 80.0, 0.5, 2.0, True, 999_000.0, 1_003_000.0), KnownRoute(8, "s-9", 20.0)),
+        {"orders": (90, 100)})
+    return dataclasses.replace(told, **changes)
+
+
+def at(passed: float, set_by: float = 0.0, boot: str = "boot-1") -> Moment:
+    return Moment(WRITTEN.wall + passed + set_by, WRITTEN.mono + passed if boot == "boot-1" else 10.0, boot)
+
+
+class Clocks(unittest.TestCase):
+    def test_what_passed_and_how_far_the_clock_was_set(self) -> None:
+        cases = {
+            "nothing odd": (at(600.0), Between(600.0)),
+            "90 s back": (at(600.0, -90_000.0), Between(600.0, -90_000.0)),
+            "90 s forward": (at(600.0, 90_000.0), Between(600.0, 90_000.0)),
+            "another boot": (at(30_000.0, boot="boot-2"), Between(30_000.0)),
+            "another boot, 90 s back": (at(5_000.0, -95_000.0, "boot-2"), Between(0.0, -90_000.0)),
+            "a boot that is not known": (Moment(WRITTEN.wall + 5.0), Between(5.0)),
+            "the monotonic clock began anew": (Moment(WRITTEN.wall + 5.0, 1.0, "boot-1"), Between(5.0)),
+        }
+        for name, (now, expected) in cases.items():
+            with self.subTest(name):
+                self.assertEqual(between(WRITTEN, now), expected)
+        self.assertEqual(between(Moment(float("nan")), at(0.0)), Between(0.0))
+        self.assertGreater(clocks.now(5.0).mono, 0.0)
+
+
+class Ages(unittest.TestCase):
+    def told(self, passed: float, set_by: float = 0.0, discovery: str = "127.0.0.1:8500", revision: int = 40,
+             outlast: bool = False) -> beliefs.Believed:
+        return believe(known(), at(passed, set_by), discovery, revision, ("orders", "scores"), outlast)
+
+    def test_each_part_has_an_age_beyond_which_it_is_not_believed(self) -> None:
+        fresh = self.told(1_000.0)
+        self.assertEqual((fresh.revision, fresh.members, fresh.left_out), (41, (MEMBER,), ()))
+        self.assertEqual(fresh.routes[0], KnownRoute(7, "", 80.0, 0.5, 2.0, True, 999_000.0, 0.0))
+        self.assertEqual(fresh.on_time, {"orders": (90, 100)})
+        self.assertFalse(fresh.rolled_back)
+        later = self.told(beliefs.HEALTH_MS + 1)
+        self.assertEqual(later.routes[0], KnownRoute(7, "", 80.0, 0.5, 2.0))
+        self.assertEqual([part for part, _, _ in later.left_out], ["health"])
+        old = self.told(beliefs.SHARE_MS + 1)
+        self.assertEqual((old.routes, old.on_time, old.rolled_back), ((), {}, True))
+        self.assertEqual([part for part, _, _ in old.left_out], ["limits", "health", "on-time shares"])
+        self.assertEqual(self.told(beliefs.LIST_MS + 1).members, ())
+
+    def test_a_stored_list_never_outweighs_a_newer_or_another_one(self) -> None:
+        self.assertEqual(self.told(5.0, revision=41).left_out[0][2], "the configuration's is as new")
+        self.assertEqual(self.told(5.0, discovery="127.0.0.1:1").left_out[0][2], "it is of another discovery")
+
+    def test_a_told_wait_ends_by_restart_unless_it_outlasts_one(self) -> None:
+        self.assertEqual(self.told(1_000.0).routes[0].wait_until, 0.0)
+        self.assertEqual(self.told(1_000.0, outlast=True).routes[0].wait_until, 1_003_000.0)
+        self.assertEqual(self.told(1_000.0, -90_000.0, outlast=True).routes[0].wait_until, 913_000.0)
+        self.assertEqual(self.told(4_000.0, outlast=True).routes[0].wait_until, 0.0)
+
+
+class Form(unittest.TestCase):
+    def test_what_is_written_is_read(self) -> None:
+        self.assertEqual(decode(encode(known())), known())
+
+    def test_a_list_too_long_is_left_out(self) -> None:
+        told = decode(encode(known(members=(MEMBER,) * 2_000)))
+        self.assertEqual((told.members, told.revision, len(told.routes)), ((), -1, 2))
+
+    def test_values_that_cannot_be_are_left_out_alone(self) -> None:
+        for limit in (-3.0, float("inf"), float("nan"), 1e30):
+            told = decode(encode(known(routes=(KnownRoute(7, "", limit), KnownRoute(8, "", 5.0)))))
+            self.assertEqual([route.dest for route in told.routes], [8])
+        told = decode(encode(known(on_time={"orders": (9, 3), "scores": (1, 2)})))
+        self.assertEqual(told.on_time, {"scores": (1, 2)})
+
+    @settings(max_examples=200, deadline=None)
+    @given(st.one_of(st.binary(max_size=200), st.builds(
+        lambda at, new: encode(known())[:at] + new + encode(known())[at + len(new):],
+        st.integers(0, 300), st.binary(max_size=20))))
+    def test_any_bytes_are_believed_whole_or_not_at_all(self, data: bytes) -> None:
+        try:
+            self.assertEqual(decode(data), known())
+        except Unbelievable:
+            pass
+
+    def test_a_newer_format_is_not_believed(self) -> None:
+        import json
+        import zlib
+
+        text = encode(known())[9:]
+        newer = json.dumps(json.loads(text) | {"format": 9}).encode()
+        with self.assertRaisesRegex(Unbelievable, "format 9"):
+            decode(b"%08x " % zlib.crc32(newer) + newer)
+
+
+class Kept(unittest.TestCase):
+    def setUp(self) -> None:
+        made = tempfile.TemporaryDirectory()
+        self.addCleanup(made.cleanup)
+        self.folder = Path(made.name)
+
+    def test_a_kill_after_each_file_operation_of_a_rewrite_leaves_the_old_or_the_new(self) -> None:
+        class Killed(BaseException):
+            pass
+
+        keeper = Keeper(self.folder)
+        old, new = encode(known()), encode(known(life=8))
+        real = {name: getattr(os, name) for name in ("open", "write", "close", "replace")}
+        for last in range(6):
+            keeper.write(old)
+            done = 0
+
+            def counted(name: str, most: int = last):  # type: ignore[no-untyped-def]
+                def call(*args, **kwargs):  # type: ignore[no-untyped-def]
+                    nonlocal done
+                    done += 1
+                    if done > most:
+                        raise Killed
+                    return real[name](*args, **kwargs)
+                return call
+
+            with mock.patch.multiple(os, **{name: counted(name) for name in real}):
+                try:
+                    keeper.write(new)
+                except Killed:
+                    pass
+            read = Keeper(self.folder).read()
+            assert read
+            self.assertEqual(read.life, 8 if done <= last else 7)
+
+    def test_a_disk_that_fills_keeps_what_was_there(self) -> None:
+        keeper = Keeper(self.folder)
+        keeper.write(encode(known()))
+        real = os.write
+        with mock.patch("os.write", lambda fd, data: real(fd, data[:20])), self.assertRaises(OSError):
+            keeper.write(encode(known(life=9)))
+        with mock.patch("os.open", side_effect=OSError(errno.ENOSPC, "full")), self.assertRaises(OSError):
+            keeper.write(encode(known(life=9)))
+        read = keeper.read()
+        assert read
+        self.assertEqual(read.life, 7)
+
+    def test_from_one_life_to_the_next(self) -> None:
+        wall = 1_000_000.0
+        first = Memory(self.folder, 3, ("orders",))
+        first.keep(wall, Recalled((RouteWas(7, 4, (80.0, 0.5, 2.0), True, 999_000_000, 0),), ((9, 10),)),
+            lambda number: f"s-{number}", "127.0.0.1:8500", 41, lambda: [dict(MEMBER)])
+        second = Memory(self.folder, 4, ("orders",))
+        second.read(wall + 500.0, "127.0.0.1:8500", 40)
+        told = second.recalled({"s-4": 12}.get, wall + 500.0)
+        self.assertEqual(told, Recalled((RouteWas(7, 12, (80.0, 0.5, 2.0), True, 999_000_000, 0),), ((9, 10),)))
+        self.assertEqual(second.recalled({}.get, wall + 500.0), Recalled((), ((9, 10),)))  # the list does not name it
+
+    def test_times_are_moved_with_the_clock_and_a_copy_of_long_ago_is_doubted(self) -> None:
+        wall = 1_000_000.0
+        memory = Memory(self.folder, 3, ("orders",))
+        memory.keep(wall, Recalled((), ((0, 0),)), str, "127.0.0.1:8500", 41, list)
+        later = clocks.now(0.0)
+        for set_by, passed, doubtful in ((-90_000.0, 600.0, False), (90_000.0, 600.0, False), (0.0, 125_000.0, True)):
+            with self.subTest(set_by=set_by, passed=passed):
+                entry = Entry(1, "m", "orders", 7, wall + 9_000.0, "k", b"", [Attempt(wall - 50.0, 0)])
+                second = Memory(self.folder, 4, ("orders",))
+                moment = Moment(wall + passed + set_by, later.mono + passed, later.boot)
+                with mock.patch.object(clocks, "now", lambda wall, moment=moment: moment):
+                    second.read(moment.wall, "127.0.0.1:8500", -1)
+                second.mend([entry])
+                self.assertAlmostEqual(entry.deadline, wall + 9_000.0 + set_by, delta=1_000.0)
+                self.assertAlmostEqual(entry.attempts[0].sent_at, wall - 50.0 + set_by, delta=1_000.0)
+                self.assertEqual(entry.doubtful, doubtful)
+
+    def test_what_cannot_be_read_costs_no_start(self) -> None:
+        (self.folder / "beliefs").write_bytes(b"\xff" * 50)
+        memory = Memory(self.folder, 3, ("orders",))
+        memory.read(1.0, "127.0.0.1:8500", -1)
+        self.assertIsNone(memory.recalled({}.get, 1.0))
+        (self.folder / "beliefs").unlink()
+        (self.folder / "beliefs").mkdir()
+        memory.read(1.0, "127.0.0.1:8500", -1)
+        memory.keep(5_000.0, Recalled((), ((0, 0),)), str, "127.0.0.1:8500", 1, list)  # logged, and that is all
+
+
+if __name__ == "__main__":
+    unittest.main()
