--- a/tests/fleet/test_auditor.py
+++ b/tests/fleet/test_auditor.py
@@ -71,6 +71,8 @@
         refused = handed(1.0, "entries"), told(1.1), call(1.2, 1), answer(1.3, 1, 503), call(2.0, 2), answer(2.1, 2)
         self.assertEqual(self.found(*refused), [])
         both = handed(1.0, "scores"), told(1.1), call(1.2, 1), call(1.3, 2), answer(1.4, 1), answer(1.5, 2)
+        shortly = handed(1.0, "scores"), told(1.1), call(1.2, 1), call(1.3, 2), answer(1.34, 1), answer(1.5, 2)
+        self.assertEqual(self.found(*shortly), [])
         self.assertEqual(self.found(*both), ["two out"])
         gone = (handed(1.0, "scores"), told(1.1), call(1.2, 1), (1.25, "unanswered", {"id": "m", "call": 1}),
                 call(1.3, 2), answer(1.5, 2))
@@ -152,6 +154,8 @@
                 self.heard, self.link.fault = b"", fault
                 self.assertEqual(await self.says(), answered)
                 self.assertEqual(self.heard, arrived)
+                await self.link.stop()  # what a stall holds back goes with it
+                await self.link.start()
 
     async def test_a_stall_that_is_taken_back_lets_everything_through(self) -> None:
         self.link.fault = Fault(stall_down=True)
