--- a/calicohitch/core/common_share.py
+++ b/calicohitch/core/common_share.py
@@ -38,6 +38,7 @@
 class CommonShare(Share):
     """What a courier may send to one route, of `couriers` that send there."""
 
+    notes = True
     fade = 1.0 * _SECOND
 
     def __init__(self, couriers: int, fields: Sequence[str] = ()) -> None:
@@ -50,12 +51,12 @@
 
     def suppose(self, now: int, limit: float) -> None:
         """What the list says of the limit, until an answer tells it."""
-        if not self._heard and len(self._places) == 2 and 0 < limit < math.inf:
+        if not self.heard and len(self._places) == 2 and 0 < limit < math.inf:
             self._refill(now)
             self.limit = limit
 
     def state(self) -> tuple[float, float, float]:
-        return self.limit if self._heard else 0.0, self._times, self._came
+        return self.limit if self.heard else 0.0, self._times, self._came
 
     def recall(self, limit: float, times: float, came: float) -> None:
         """Go on from what an earlier life knew: a limit that was lowered or raised meanwhile still changes the
@@ -73,15 +74,21 @@
         self._came = self._came * self._faded(now) + share * _SECOND / _LOOKS_BACK
         self._came_at = now
 
+    def noted(self, now: int, limit: float) -> None:
+        """Another courier was told this limit; one near what is known is no news, and answers know better."""
+        if self.heard and self.limit and not _LOWERED <= limit / self.limit <= _RAISED:
+            self._refill(now)
+            self._limited(now, limit)
+
     def _limited(self, now: int, limit: float) -> None:
         """A limit is told: a new one changes what all send in proportion, before refusals teach it; from what comes,
         since a share above it was not used up."""
-        change = limit / self.limit if self.limit and self._heard else 1.0
+        change = limit / self.limit if self.limit and self.heard else 1.0
         if change < _LOWERED:
             self._times, self._cut_at = max(_LEAST, min(self._times, 1.0) * change), now
         elif change > _RAISED:
             self._times, self._left = min(_MOST, self._times * change), max(self._left, 0.5)
-        elif self._heard:
+        elif self.heard:
             limit = self.limit + _SMOOTH * (limit - self.limit)
         self.limit = limit
 
--- a/calicohitch/core/share.py
+++ b/calicohitch/core/share.py
@@ -24,6 +24,7 @@
 class Share:
     """What a courier may send to one route, of `couriers` that send there."""
 
+    notes = False  # whether couriers tell each other of its limits
     fade = 1.5 * _SECOND  # what was told counts for less by a factor of e after so long
 
     def __init__(self, couriers: int, fields: Sequence[str] = ()) -> None:
@@ -34,7 +35,7 @@
         self._left = 1.0  # share of the allowance, in the mean over answers
         self._keep = _KEEP
         self._told_at = 0
-        self._heard = False  # an answer told the limit
+        self.heard = False  # an answer told the limit
         self._tokens, self._at = 1.0, 0  # at most, and fewer after calls; counted up to then
 
     @property
@@ -45,13 +46,16 @@
     def suppose(self, now: int, limit: float) -> None:
         """What the list says of the limit; a few couriers learn it from answers soon enough."""
 
+    def noted(self, now: int, limit: float) -> None:
+        """Another courier was told this limit."""
+
     def state(self) -> tuple[float, float, float]:
         """What `recall` takes in a later life."""
-        return self.limit if self._heard else 0.0, 1.0, 0.0
+        return self.limit if self.heard else 0.0, 1.0, 0.0
 
     def recall(self, limit: float, times: float, came: float) -> None:
         """Go on from what an earlier life knew, before anything is told."""
-        self.limit, self._heard = limit, limit > 0
+        self.limit, self.heard = limit, limit > 0
 
     def came(self, now: int, share: float = 1.0) -> None:
         """A message came, of which so much is for this route; an equal part does not go by that."""
@@ -62,14 +66,14 @@
             return
         left, limit = (report[at] for at in self._places)
         if left == limit == 0 and not full:  # it has no limit, whatever was supposed
-            self.limit, self._heard = 0.0, True
+            self.limit, self.heard = 0.0, True
         if not (0 < limit < math.inf and 0 <= left <= 1):
             return
         since = max(0, now - self._told_at)
         gain = max(_GAIN, 1 - math.exp(-since / self.fade))
         self._refill(now)
         self._limited(now, limit)
-        self._heard = True
+        self.heard = True
         self._left += gain * ((0.0 if full else left) - self._left)
         self._told_at = now
         self._adjust(now, since, left, full)
--- a/calicohitch/rules.py
+++ b/calicohitch/rules.py
@@ -16,9 +16,10 @@
 from typing import Any
 
 from .core.common_share import share_of
+from .core.limit_news import LimitNews
 from .interface import (Action, Arrived, Cancel, CloseIdle, Effect, Event, Fail, Held, Hold, ListKind,
-    ListTold, MessageClass, Outcome, Phase, Recalled, Refuse, Send, Settings, Settled, SetTimer, Watch,
-    Withdrawn)
+    ListTold, MessageClass, Outcome, PeerSaid, Phase, Recalled, Refuse, Send, Settings, Settled, SetTimer,
+    Tell, Watch, Withdrawn)
 from .state import SHARED, Call, Destination, Endpoint, Message, Route, conformance, known, recall, smoothed
 
 SECOND = 1_000_000  # microseconds
@@ -30,7 +31,6 @@
 REST_GAPS = 3  # usual gaps of a courier's messages: its longest rest, so that a used-up limit can recover
 CROWDED = 2 * SECOND  # after a failed connect, idle connections of that kind are not kept; each renews it
 PATIENCE = 8  # mean latencies until a repeatable attempt times out: 1 honest call in 3000 is longer
-STALL = 4  # mean latencies without any answer until a route counts as silent
 FAILING = 0.6  # share of recent calls that fail: most of them, so this is an outage
 FAIL_GAIN = 0.3  # share: weight of one call in that figure; three failures in a row pass FAILING
 RISKY = 0.25  # share of failing calls above which an unsafe message, lost by a failure, rather waits
@@ -40,9 +40,7 @@
 CHOKED_MAX = 8  # doublings that make two minutes of half a second: longer than any message lives
 TRIAL, TRIAL_MAX = SECOND // 2, 2 * SECOND  # first, longest pause between trials of a sick route
 CUT = 0.85  # share of the accepted rate at which a refused route is paced
-GROW = 0.1  # share by which the pace grows each second without a refusal
 TIP_ROOM = 0.8  # share of what would push a warming route over that is used where its limit is told
-PACE_END = 5  # seconds: without a refusal for so long, pacing ends
 ROOM = 0.9  # share of the holding room above which the least worth is given up
 ASK_AGAIN, ASK_MAX = SECOND, 8 * SECOND  # first, longest pause after a failed call to the list
 
@@ -69,22 +67,11 @@
     return message.cls.effect is Effect.SAFE or not message.may_have_run or keyed_yet
 
 
-def pace(route: Route, now: int) -> float:  # calls a second, 0 without a pace; it grows evenly
-    since = (now - route.cut_at) / SECOND
-    return route.pace * (1 + GROW * since) if since <= PACE_END else 0.0
-
-
 def before(line: Sequence[Message], aim: float, or_at: bool = False) -> int:
     """How many of a line, which lies in the order of its aims, have theirs before `aim`."""
     return (bisect_right if or_at else bisect_left)(line, aim, key=lambda message: message.aim_at)
 
 
-def silent(route: Route, now: int) -> bool:
-    """Nothing sent for long was answered; a call lost while later ones are answered says nothing."""
-    since = next((call.sent_at for call in route.calls if call.sent_at > route.heard), now)
-    return route.mean is not None and now - since > STALL * route.mean
-
-
 class Sender:
     """The decisions of one courier. Feed it every event; carry out its actions in order."""
 
@@ -107,6 +94,7 @@
         self._actions: list[Action] = []
         self._mean: float | None = None  # latency of served calls, over all destinations
         self._timer_at = self._slots_taken = 0
+        self._news = LimitNews(seed)
         self._ask_at, self._ask_pause = -1, ASK_AGAIN
         names = [report.name for report in settings.reports]
         self._new_route: Callable[[], Route] = lambda: Route(self._now, share_of(settings.couriers, names))
@@ -116,7 +104,7 @@
         self._now, self._actions = now, []
         take: dict[type, Callable[[Any], None]] = {
             Arrived: self._arrived, Settled: self._settled, Withdrawn: self._withdrawn, ListTold: self._list,
-            Recalled: self._recalled}
+            Recalled: self._recalled, PeerSaid: self._peer_said}
         for event in events:
             take.get(type(event), lambda _: None)(event)
         while self._wakes and self._wakes[0][0] <= now:
@@ -125,6 +113,8 @@
         self._release()
         self._make_room()
         self._arm()
+        if self._set.may_tell and (note := self._news.due(now)):
+            self._actions.append(Tell(None, note))
         return self._actions
 
     def _arrived(self, told: Arrived) -> None:
@@ -193,7 +183,8 @@
         dest = self._dests[endpoint.told.dest]
         if event.outcome in (Outcome.CANCELLED, Outcome.MOOT) or event.stale:
             return
-        route.share.told(now, event.report, event.outcome is Outcome.FULL)
+        shared = endpoint.told.dest if route is dest.routes.get(SHARED) else None
+        self._news.told(now, shared, route.share, event.report, event.outcome is Outcome.FULL)
         if call.again and event.outcome in (Outcome.OK, Outcome.FULL):
             # Guards against limits that refused calls use up: there trying again shuts out all. Where most of
             # a kind's second tries are refused, its rests double. Harm: a full partner slows its kind.
@@ -300,7 +291,7 @@
             if call.sent_at > route.cut_at:
                 share = self._told_share(call.endpoint) or 1.0  # untold: a call a second
                 took = max(route.accepted_rate(now), share)
-                route.pace = max(CUT * min(pace(route, now) or took, took), share / 2)
+                route.pace = max(CUT * min(route.paced(now) or took, took), share / 2)
                 route.cut_at = now
             pause = min(int(SECOND / (route.pace or 1.0)) << min(route.bad_run - 1, 3), TRIAL_MAX)
             route.rest(now + (wait or pause), Hold.PACE)
@@ -336,6 +327,12 @@
             del self._dests[endpoint.told.dest].ends[name]
             self._touched[endpoint.told.dest] = None
 
+    def _peer_said(self, event: PeerSaid) -> None:
+        for name, limit in self._news.heard(self._now, event.data):
+            if (dest := self._dests.get(name)) and SHARED in dest.routes:
+                dest.routes[SHARED].share.noted(self._now, limit)
+                self._touched[name] = None
+
     def _recalled(self, event: Recalled) -> None:
         recall(self._dests, event.routes)
         for recent, (good, of) in zip(self._recent, event.on_time, strict=False):
@@ -512,7 +509,7 @@
             return Hold.PACE
         # Guards the slots against a silent route: few calls are out there, TRIAL apart; an answer ends that.
         most = max(2, self._set.slots // 3)
-        if silent(route, now) and (len(route.calls) >= most or now < route.calls[-1].sent_at + TRIAL):
+        if route.silent(now) and (len(route.calls) >= most or now < route.calls[-1].sent_at + TRIAL):
             return Hold.SILENT
         warm = route.cold_due <= now or now >= route.cold_at + self._set.rules.ramp_time
         return None if warm else Hold.RAMP
@@ -525,7 +522,7 @@
         endpoint.calls += 1
         self._slots_taken += 1
         route.share.sent(now)
-        if paced := pace(route, now):
+        if paced := route.paced(now):
             gap = int(SECOND / paced)
             route.rest(max(route.rest_until, now - gap) + gap, Hold.PACE)
         rules = self._set.rules
--- a/calicohitch/state.py
+++ b/calicohitch/state.py
@@ -17,6 +17,9 @@
 MEAN_GAIN = 0.15  # share: weight of a new latency in the mean; about the last dozen calls count
 SECOND = 1_000_000  # microseconds
 PACE_SPAN = 2 * SECOND  # span over which accepted calls are counted: the longest usual span of a limit
+STALL = 4  # mean latencies without any answer until a route counts as silent
+GROW = 0.1  # share by which the pace grows each second without a refusal
+PACE_END = 5  # seconds: without a refusal for so long, pacing ends
 SHARED = -1  # name of the one route of a destination whose endpoints are not routes apart
 
 
@@ -95,6 +98,16 @@
         if until > self.rest_until:
             self.rest_until, self.rest_why = until, why
 
+    def paced(self, now: int) -> float:
+        """Calls a second, 0 without a pace; it grows evenly."""
+        since = (now - self.cut_at) / SECOND
+        return self.pace * (1 + GROW * since) if since <= PACE_END else 0.0
+
+    def silent(self, now: int) -> bool:
+        """Nothing sent for long was answered; a call lost while later ones are answered says nothing."""
+        since = next((call.sent_at for call in self.calls if call.sent_at > self.heard), now)
+        return self.mean is not None and now - since > STALL * self.mean
+
     def was_accepted(self, now: int) -> None:
         """A call was taken."""
         self.accepted.append(now)
--- a/tests/fleet/rig.py
+++ b/tests/fleet/rig.py
@@ -170,12 +170,12 @@
 
     # Processes.
 
-    def begin(self, name: str) -> Relay:
-        """Start a relay's process; `come` waits until it is ready."""
+    def begin(self, name: str, code: str = "") -> Relay:
+        """Start a relay's process, `code` run before it; `come` waits until it is ready."""
         relay = self.relays[name]
         env = {key: value for key, value in os.environ.items() if not key.startswith("NODE_")}
         env |= {"NODE_CONFIG": str(relay.folder / "config.json"), "PYTHONPATH": f"{self._root}:{ROOT / 'tests'}"}
-        code = (f"{self._code}\nimport sys; sys.argv[1:] = ['serve']\n"
+        code = (f"{self._code}\n{code}\nimport sys; sys.argv[1:] = ['serve']\n"
                 "from calicohitch.commands import main\nsys.exit(main())")
         with (relay.folder / "log").open("ab") as log:
             relay.process = subprocess.Popen([sys.executable, "-B", "-c", code], env=env, cwd=self._root, stderr=log,
--- a/tests/fleet/scenarios.py
+++ b/tests/fleet/scenarios.py
@@ -236,3 +236,35 @@
             await rig.come(*names)
         await rig.settled(9.5)
         return rig.audit()
+
+
+async def _clock_set(seed: int, code: str, by_s: float) -> Report:
+    """Relays are killed with work out, and the wall clock is set before they come back: keys are remembered no longer
+    by it, and nothing is lost."""
+    async with Rig(seed, 2, _dests(), code=code) as rig:
+        await rig.start()
+        rig.load(1.5, 60.0, ("orders", "entries"))
+        await asyncio.sleep(1.0)
+        for dest in rig.dests.values():
+            dest.fail = True
+        await asyncio.sleep(0.8)
+        rig.kill("r0", "r1")
+        rig.story.tell("fault", what=f"the wall clock is set by {by_s} s")
+        for name in ("r0", "r1"):
+            rig.begin(name, f"import time; real = time.time; time.time = lambda: real() + {by_s}")
+        await rig.come("r0", "r1")
+        await asyncio.sleep(4.6)
+        for dest in rig.dests.values():
+            dest.fail = False
+        await rig.settled(4.0)
+        return rig.audit()
+
+
+@_scenario
+async def clock_back(seed: int, code: str = "") -> Report:
+    return await _clock_set(seed, code, -90.0)
+
+
+@_scenario
+async def clock_forward(seed: int, code: str = "") -> Report:
+    return await _clock_set(seed, code, 90.0)
--- a/tests/fleet/test_scenarios.py
+++ b/tests/fleet/test_scenarios.py
@@ -40,7 +40,8 @@
         self.kept("herd", "herd_damaged", "herd_silent", "herd_lowered", "herd_twice")
 
     def test_folders_and_links(self) -> None:
-        self.kept("stalled", "shared", "rolled_back", "links", "drains", "outage", "herd_slow")
+        self.kept("stalled", "shared", "rolled_back", "links", "drains", "outage", "herd_slow",
+            "clock_back", "clock_forward")
 
 
 class Mutants(unittest.TestCase):
--- /dev/null
+++ b/tests/recovery/test_phases.py
@@ -0,0 +1,105 @@
+"""The phases of a return, and what `calicohitch recovery` reads of them."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+from calicohitch.recovery.phases import LONGEST_MS, Did, Return
+from calicohitch.recovery.reading import fleet, read
+
+TEXT = [
+    "19:05:00.100 INFO life 1796 has the folder /state", "19:05:00.140 INFO return: up after 0 ms",
+    "19:05:00.141 INFO return: folder after 41 ms (18 restored, 2 damaged)", "19:05:00.2 INFO return: list after 71 ms",
+    "19:05:01.2 INFO return: second 0: 11 restored, 4 fresh, 15 served", "19:05:01.3 INFO return: full after 980 ms",
+    "19:06:00.0 INFO something else",
+]
+
+
+class Phases(unittest.TestCase):
+    def passed(self, back: Return, now: float) -> list[tuple[str, float]]:
+        return [(one.phase.value, one.after) for one in back.news(now)]
+
+    def test_each_is_told_once_with_its_time(self) -> None:
+        back = Return(1_000.0)
+        back.folder(1_040.0, {5: 7, 6: 8}, 1)
+        back.listed(1_070.0)
+        self.assertEqual(self.passed(back, 1_100.0), [("up", 0.0), ("folder", 40.0), ("list", 70.0)])
+        back.answered(1_200.0, 7)
+        back.did(1_200.0, Did.SERVED, 5)
+        self.assertEqual(self.passed(back, 1_250.0), [])
+        back.answered(1_300.0, 8)
+        self.assertEqual(self.passed(back, 1_350.0), [("limits", 300.0)])
+        back.did(1_900.0, Did.REFUSED, 6)
+        self.assertEqual(self.passed(back, 1_950.0), [("backlog", 900.0), ("full", 900.0)])
+        self.assertTrue(back.over)
+        back.did(9_000.0, Did.SERVED, 9)
+        self.assertEqual(self.passed(back, 9_000.0), [])
+
+    def test_a_relay_with_nothing_to_restore_waits_for_the_list_alone(self) -> None:
+        back = Return(0.0)
+        back.folder(10.0, {}, 0)
+        self.assertEqual([name for name, _ in self.passed(back, 11.0)], ["up", "folder", "backlog", "limits"])
+        back.listed(400.0)
+        self.assertEqual(self.passed(back, 500.0), [("list", 400.0), ("full", 400.0)])
+
+    def test_what_is_done_is_counted_by_second(self) -> None:
+        back = Return(0.0)
+        back.folder(10.0, {5: 7, 6: 7}, 0)
+        back.did(100.0, Did.FRESH)
+        back.did(200.0, Did.SERVED, 5)
+        back.did(2_300.0, Did.SERVED, 99)
+        back.news(3_100.0)
+        self.assertEqual(back.seconds, [(0, {"fresh": 1, "restored": 1, "served": 1}), (2, {"served": 1})])
+
+    def test_a_return_that_never_ends_is_told_as_it_stands(self) -> None:
+        back = Return(0.0)
+        back.folder(10.0, {5: 7}, 0)
+        back.news(11.0)
+        (last,) = back.news(LONGEST_MS + 1)
+        self.assertEqual((last.phase.value, last.facts), ("unended", {"restored": 1, "untold": 1}))
+        self.assertEqual(back.news(LONGEST_MS * 2), [])
+
+
+class Reading(unittest.TestCase):
+    def test_both_forms_of_the_log(self) -> None:
+        as_json = [json.dumps({"event": "x", "text": line.split("INFO ")[1]}) for line in TEXT]
+        for lines in (TEXT, as_json):
+            (life,) = read("n0", [*lines, "{broken", "return: nothing", ""])
+            self.assertEqual((life.life, life.phases), (1796, {"up": 0.0, "folder": 41.0, "list": 71.0, "full": 980.0}))
+            self.assertEqual(life.facts, {"restored": 18, "damaged": 2})
+            self.assertEqual(life.seconds, {0: {"restored": 11, "fresh": 4, "served": 15}})
+
+    def test_a_fleet_is_summed(self) -> None:
+        lives = read("n0", TEXT) + read("n1", [line.replace("980", "2000") for line in TEXT])
+        told = fleet(lives)
+        self.assertEqual(told["phases"]["full"], {"reached": 2, "median_ms": 1490.0, "worst_ms": 2000.0})
+        self.assertEqual(told["seconds"]["0"], {"restored": 22, "fresh": 8, "served": 30})
+
+    def test_the_command(self) -> None:
+        with tempfile.TemporaryDirectory() as name:
+            log, chart = Path(name) / "n0.log", Path(name) / "back.svg"
+            log.write_text("\n".join(TEXT))
+
+            def run(*arguments: str) -> subprocess.CompletedProcess[str]:
+                return subprocess.run([sys.executable, "-m", "calicohitch", "recovery", *arguments],
+                    capture_output=True, text=True, timeout=60)
+
+            done = run(str(log), "--chart", str(chart))
+            self.assertEqual(done.returncode, 0, done.stderr)
+            self.assertIn("1 of 1 returns came to full service", done.stdout)
+            self.assertIn("</svg>", chart.read_text())
+            self.assertEqual(json.loads(run(str(log), "--json").stdout)["lives"][0]["life"], 1796)
+            log.write_text("\n".join(TEXT[:4]))
+            self.assertEqual(run(str(log)).returncode, 1)
+            missing = run(f"{name}/none")
+            self.assertEqual(missing.returncode, 2)
+            self.assertIn("No such file", missing.stderr)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -6,9 +6,13 @@
 import os
 import signal
 import socket
+import struct
 import subprocess
 import sys
+import tempfile
 import unittest
+import zlib
+from collections.abc import Callable
 from pathlib import Path
 
 import anyio
@@ -151,6 +155,39 @@
         self.assertIn("alive", done.stdout)
 
 
+class Folders(unittest.TestCase):
+    """What a start says of a folder that it cannot use, and the code that it ends with."""
+
+    def ended(self, prepare: Callable[[Path], None]) -> tuple[int, str]:
+        with tempfile.TemporaryDirectory() as name:
+            state = Path(name) / "state"
+            prepare(state)
+            path = Path(name) / "config.json"
+            path.write_text(json.dumps({"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "state": str(state),
+                                        "settings": SETTINGS}))
+            done = subprocess.run([sys.executable, "-m", "calicohitch", "serve"], cwd=ROOT, capture_output=True,
+                text=True, timeout=60, env=os.environ | {"NODE_CONFIG": str(path), "PYTHONPATH": str(ROOT)})
+            return done.returncode, done.stderr
+
+    def test_a_file_in_its_place(self) -> None:
+        code, said = self.ended(lambda state: state.write_text(""))
+        self.assertEqual(code, 73)
+        self.assertIn("calicohitch: the folder", said)
+        self.assertIn("it is not a folder: move the file away", said)
+        self.assertNotIn("Traceback", said)
+
+    def test_a_newer_format(self) -> None:
+        def newer(state: Path) -> None:
+            state.mkdir()
+            payload = struct.pack(">BQHQI", 8, 0, 99, 0, 1)
+            frame = struct.pack(">II", len(payload), zlib.crc32(payload))
+            (state / "journal-00000001.log").write_bytes(frame + payload)
+
+        code, said = self.ended(newer)
+        self.assertEqual(code, 78)
+        self.assertIn("was written by a newer program, in format 99", said)
+
+
 class CommandLine(unittest.TestCase):
     def run_it(self, *arguments: str, **env: str) -> subprocess.CompletedProcess[str]:
         command = [sys.executable, "-m", "calicohitch", *arguments]
