Segments are read one at a time; a header alone does not fill one; a newer, longer header is seen

Read again: all segments were held as records at once while a folder was read; a record as long as a segment left an empty one behind each time; names of segments kept aside could come again; a return's end was looked up for each message.

--- a/calicohitch/journal.py
+++ b/calicohitch/journal.py
@@ -32,6 +32,7 @@
 _OUTCOME = struct.Struct(">HB")  # attempt, whether it may have run
 _END = struct.Struct(">Bd")  # handed back or given up, advice
 _HEADER = struct.Struct(">HQI")  # format, life, number of the segment
+_FIRST = FRAME.size + _HEAD.size + _HEADER.size  # bytes of a segment that holds nothing else yet
 _BLOCK = 512  # the platform counts each file in whole blocks of this size
 _AFTERWARDS = 640  # bytes kept free for each open message: eight attempts, their outcomes, its end
 _SHARE = 0.7  # of the disk that the journal uses at most; the rest is a margin
@@ -203,7 +204,7 @@
         record = self._record(kind, number, data) + behind
         try:
             self._check()
-            if self._fd < 0 or 0 < self._segments[-1].size > self._roll_at - len(record):
+            if self._fd < 0 or _FIRST < self._segments[-1].size > self._roll_at - len(record):
                 self._roll()
             segment = self._segments[-1]
             written = os.write(self._fd, record)
@@ -252,52 +253,63 @@
 
     def _load_all(self) -> None:
         """Read every segment, in the order in which they were written."""
-        read: list[tuple[int, _Segment, list[Record | Lost]]] = []
+        found: list[tuple[int, Path]] = []
         for path in sorted(self._folder.iterdir()):
+            name = _SEGMENT.fullmatch(path.name.removeprefix(_ASIDE))
+            if name is None:
+                continue
+            number = int(name[1])
             if path.name.startswith(_ASIDE):
                 self._aside += _Segment(path, path.stat().st_size).on_disk()
-            if (name := _SEGMENT.fullmatch(path.name)) is None:
-                continue
-            try:
-                found = list(records(data := path.read_bytes()))
-            except OSError as err:
-                self.damage.append(Damage(path.name, 0, 0, f"it cannot be read ({err.strerror}) and is left as it is"))
-                continue
-            number = self._number(path, found) or int(name[1])
-            self._last = max(self._last, int(name[1]), number)
-            if found and isinstance(found[-1], Lost) and found[-1].torn:  # of an act that was not made
-                os.truncate(path, found[-1].offset)
-                data = data[: found.pop().offset]
-            read.append((number, _Segment(path, len(data)), found))
-        for _, segment, found in sorted(read, key=lambda one: one[0]):
-            self._segments.append(segment)
-            for one in found:
-                if isinstance(one, Lost):
-                    self._lost(one, segment)
+            else:
+                try:
+                    number = self._number(path) or number
+                except OSError as err:
+                    self.damage.append(
+                        Damage(path.name, 0, 0, f"it cannot be read ({err.strerror}) and is left as it is"))
                 else:
-                    if one.mended:
-                        segment.damaged = True
-                        self._note(segment, one.offset, len(one.payload), f"{one.mended} was mended", mended=True)
-                    self._replay(one, segment)
+                    found.append((number, path))
+            self._last = max(self._last, int(name[1]), number)
+        for _, path in sorted(found):
+            self._load(path)
         self.orphans = sum(any(kind != _Kind.TRACE for kind, _ in told) for number, told in self._early.items()
                            if number not in self._over)
         self._early.clear()
         self._over.clear()
 
+    def _load(self, path: Path) -> None:
+        """Read a segment to its end; a torn end, of an act that was not made, is cut off."""
+        data = path.read_bytes()
+        segment = _Segment(path, len(data))
+        self._segments.append(segment)
+        for one in records(data):
+            if isinstance(one, Lost):
+                if one.torn:
+                    os.truncate(path, one.offset)
+                    segment.size = one.offset
+                else:
+                    self._lost(one, segment)
+                continue
+            if one.mended:
+                segment.damaged = True
+                self._note(segment, one.offset, len(one.payload), f"{one.mended} was mended", mended=True)
+            self._replay(one, segment)
+
     def _note(self, segment: _Segment, offset: int, length: int, what: str, mended: bool = False) -> None:
         self.damage.append(Damage(segment.path.name, offset, length, what, mended))
 
     @staticmethod
-    def _number(path: Path, found: list[Record | Lost]) -> int:
-        """The number in a segment's header; 0 for one of the first format."""
-        for one in found[:1]:
-            if isinstance(one, Record) and one.payload[0] == _Kind.HEADER:
-                told, _, number = _HEADER.unpack_from(one.payload, _HEAD.size)
-                if told > FORMAT:
-                    raise FolderNewer(f"{path} was written by a newer program, in format {told}; this one reads "
-                                      f"up to {FORMAT}: start that program again, or give it time to end its work")
-                return int(number)
-        return 0
+    def _number(path: Path) -> int:
+        """The number in a segment's header; 0 for one of the first format, or whose header is damaged."""
+        with path.open("rb") as file:
+            first = next(records(file.read(_BLOCK)), None)  # a newer header may be longer
+        if not isinstance(first, Record) or first.payload[0] != _Kind.HEADER:
+            return 0
+        told, _, number = _HEADER.unpack_from(first.payload, _HEAD.size)
+        if told > FORMAT:
+            raise FolderNewer(f"{path} was written by a newer program, in format {told}; this one reads up to "
+                              f"{FORMAT}: start that program again, or give it time to end its work")
+        return int(number)
 
     def _lost(self, lost: Lost, segment: _Segment) -> None:
         """A stretch that cannot be read: an attempt or an end of any message that is open by then may be missing."""
--- a/calicohitch/recovery/phases.py
+++ b/calicohitch/recovery/phases.py
@@ -57,12 +57,9 @@
         self._second = 0
         self._counts: Counter[Did] = Counter()
         self.seconds: list[tuple[int, dict[str, int]]] = []  # those that are over and not told yet
+        self.over = False  # asked for each message
         self._pass(Phase.UP, up)
 
-    @property
-    def over(self) -> bool:
-        return Phase.FULL in self._passed or Phase.UNENDED in self._passed
-
     def folder(self, now: float, restored: dict[int, int], damaged: int) -> None:
         """The journal is read: restored messages with their destinations, and damaged stretches."""
         self._restored, self._untold = set(restored), set(restored.values())
@@ -116,6 +113,7 @@
         if phase not in self._passed:
             self._passed[phase] = passed = Passed(phase, max(0.0, now - self._up), facts)
             self._news.append(passed)
+            self.over = self.over or phase in (Phase.FULL, Phase.UNENDED)
 
     def _roll(self, now: float) -> None:
         second = int((now - self._up) // SECOND_MS)
