--- a/tests/fleet/rig.py
+++ b/tests/fleet/rig.py
@@ -32,6 +32,7 @@
 
 from fleet.auditor import Auditor, Class, Report
 from fleet.links import TcpLink
+from fleet.notes import Notes
 from fleet.parties import Destination, Discovery, Endpoint
 from fleet.story import Story
 
@@ -72,6 +73,12 @@
             return port
 
 
+def free_udp_port() -> int:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as found:
+        found.bind(("127.0.0.1", 0))
+        return int(found.getsockname()[1])
+
+
 def _with_parent() -> None:
     """Run in the child: its life ends with the rig's."""
     with suppress(OSError, AttributeError):
@@ -108,7 +115,9 @@
     """`code`: run before the program in each relay's process, as mutants are (`fleet/mutants.py`)."""
 
     def __init__(self, seed: int, relays: int, dests: Iterable[Destination] = (), endpoints: int = 2, code: str = "",
-                 root: Path = ROOT, told: int | None = None) -> None:
+                 root: Path = ROOT, told: int | None = None, notes: bool = False) -> None:
+        """`told`: how many relays the settings speak of, if not as many as there are. `notes`: they may tell each
+        other, by links of `self.notes`."""
         self.seed, self._code, self._root = seed, code, root
         self.random = random.Random(seed)
         self.story = Story(seed)
@@ -121,6 +130,7 @@
         self._folder = Path(tempfile.mkdtemp(prefix="fleet-"))
         self._tasks: set[asyncio.Task[Any]] = set()
         self._next = 0
+        self.notes = Notes([free_udp_port() for _ in range(relays)], seed) if notes else None
 
     async def __aenter__(self) -> Rig:
         for endpoint in self.endpoints.values():
@@ -128,6 +138,8 @@
         await self.discovery.server.start()
         for name, endpoint in self.endpoints.items():
             self.discovery.list(name, endpoint.dest.number, size=endpoint.dest.limit or 50.0)
+        if self.notes:
+            await self.notes.start()
         for n in range(self._count):
             await self.add(f"r{n}", n)
         return self
@@ -145,6 +157,8 @@
         for relay in self.relays.values():
             for link in [relay.discovery, *relay.links.values()]:
                 await link.stop()
+        if self.notes:
+            await self.notes.stop()
         for server in [self.discovery.server, *(endpoint.server for endpoint in self.endpoints.values())]:
             await server.stop()
         shutil.rmtree(self._folder, ignore_errors=True)
@@ -162,9 +176,14 @@
         for at, endpoint in self.endpoints.items():
             relay.links[at] = TcpLink(name, endpoint.server.address, endpoint.server.names)
             await relay.links[at].start()
-        config = {"name": name, "listen": f"127.0.0.1:{relay.port}", "discovery": f"127.0.0.1:{discovery.port}",
-                  "state": str(state or relay.state), "seed": self.random.getrandbits(32),
-                  "limits": {"sockets": 512, "disk_mb": 3}, "settings": settings(self._told, number)}
+        config: dict[str, Any] = {
+            "name": name, "listen": f"127.0.0.1:{relay.port}", "discovery": f"127.0.0.1:{discovery.port}",
+            "state": str(state or relay.state), "seed": self.random.getrandbits(32),
+            "limits": {"sockets": 512, "disk_mb": 3}, "settings": settings(self._told, number)}
+        if self.notes:
+            config |= {"peer_listen": f"127.0.0.1:{self.notes.ports[number]}", "peers": self.notes.peers[number],
+                       "peers_all": self.notes.everyone[number]}
+            config["settings"]["caps"]["peer_messages"] = True
         (folder / "config.json").write_text(json.dumps(config))
         return relay
 
--- a/tests/fleet/scenarios.py
+++ b/tests/fleet/scenarios.py
@@ -268,3 +268,43 @@
 @_scenario
 async def clock_forward(seed: int, code: str = "") -> Report:
     return await _clock_set(seed, code, 90.0)
+
+
+@_scenario
+async def notes(seed: int, code: str = "") -> Report:
+    """Few relays that take themselves for 120 tell each other that a limit was lowered, over links that lose a
+    third."""
+    async with Rig(seed, 6, _dests(200.0), code=code, told=120, notes=True) as rig:
+        assert rig.notes
+        for n, link in enumerate(rig.notes.links.values()):
+            link.loss, link.reorder, link.delay_s = 0.3 if n % 2 else 0.0, 0.3, 0.03
+        await rig.start()
+        rig.load(5.0, 60.0)
+        await asyncio.sleep(2.5)
+        for dest in rig.dests.values():
+            dest.limit = 60.0
+        rig.story.tell("fault", what="limits lowered")
+        await rig.settled(8.5)
+        rig.story.tell("notes", carried=rig.notes.carried)
+        return rig.audit()
+
+
+@_scenario
+async def disk_full(seed: int, code: str = "") -> Report:
+    """The disk of one of two relays fills as it works: it refuses what it cannot write, and owes nobody."""
+    async with Rig(seed, 2, _dests(), code=code) as rig:
+        for dest in rig.dests.values():
+            dest.takes_s = 1.0  # so that much is open
+        rig.begin("r0", "import resource, signal; signal.signal(signal.SIGXFSZ, signal.SIG_IGN)\n"
+                        "resource.setrlimit(resource.RLIMIT_FSIZE, (12_000, 12_000))")
+        rig.begin("r1")
+        await rig.come("r0", "r1")
+        rig.load(3.0, 120.0)
+        await rig.settled(8.5)
+        return rig.audit()
+
+
+@_scenario
+async def herd_24(seed: int, code: str = "") -> Report:
+    """24 relays, 17 killed in the same instant under load; only in the long list."""
+    return await _herd(seed, code, 24, 17, limit=100.0)
--- a/tests/fleet/test_scenarios.py
+++ b/tests/fleet/test_scenarios.py
@@ -35,13 +35,15 @@
                 self.assertFalse(report.findings, report.text())
                 self.assertGreater(report.taken, 20, report.text())
                 self.assertGreater(report.delivered, 10, report.text())
+                for event in report.story.of("notes"):  # one for each destination, at five others, less what is lost
+                    self.assertTrue(2 <= event.carried <= 60, event)
 
     def test_a_herd_comes_back(self) -> None:
         self.kept("herd", "herd_damaged", "herd_silent", "herd_lowered", "herd_twice")
 
     def test_folders_and_links(self) -> None:
         self.kept("stalled", "shared", "rolled_back", "links", "drains", "outage", "herd_slow",
-            "clock_back", "clock_forward")
+            "clock_back", "clock_forward", "notes", "disk_full")
 
 
 class Mutants(unittest.TestCase):
