--- a/tests/test_operator_file.py
+++ b/tests/test_operator_file.py
@@ -44,6 +44,14 @@
         self.assertEqual((str(told.tracing.collector.address), told.tracing.collector.path), ("[::1]:99", "/in"))
         self.assertEqual((told.logs.format, told.logs.level), ("json", "DEBUG"))
 
+    def test_coming_back(self) -> None:
+        told = self.read('recovery folder-wait-ms=250 told-waits="outlast"').recovery
+        self.assertEqual((told.folder_wait_ms, told.waits_outlast), (250.0, True))
+        usual = self.read("").recovery
+        self.assertEqual((usual.folder_wait_ms, usual.waits_outlast), (10_000.0, False))
+        with self.assertRaisesRegex(ConfigError, "told-waits"):
+            self.read('recovery told-waits="maybe"')
+
     def test_what_is_wrong_is_named_with_its_place(self) -> None:
         out = 'log lines-per-s=1'
         cases = [
