--- a/benchmarks/returns.py
+++ b/benchmarks/returns.py
@@ -22,7 +22,7 @@
 
 sys.path.insert(0, str(ROOT / "tests"))
 
-from fleet.parties import Destination  # noqa: E402
+from fleet.standins import Destination  # noqa: E402
 from fleet.rig import Rig  # noqa: E402
 
 RELAYS, KILLED, LIMIT, LOAD = 24, 17, 100.0, 190.0
--- a/tests/fleet/rig.py
+++ b/tests/fleet/rig.py
@@ -34,7 +34,7 @@
 from fleet.auditor import Auditor, Class, Report
 from fleet.links import TcpLink
 from fleet.notes import Notes
-from fleet.parties import Destination, Discovery, Endpoint
+from fleet.standins import Destination, Discovery, Endpoint
 from fleet.story import Story
 
 ROOT = Path(__file__).parents[2]
--- a/tests/fleet/scenarios.py
+++ b/tests/fleet/scenarios.py
@@ -11,7 +11,7 @@
 
 from fleet.auditor import Report
 from fleet.links import Fault, cut_off, one_way_up
-from fleet.parties import Destination
+from fleet.standins import Destination
 from fleet.rig import Rig
 
 Scenario = Callable[[int, str], Awaitable[Report]]
--- a/tests/fleet/test_auditor.py
+++ b/tests/fleet/test_auditor.py
@@ -8,7 +8,7 @@
 
 from fleet.auditor import Auditor, Class, Report
 from fleet.links import Fault, TcpLink, UdpLink, cut_off, one_way_up
-from fleet.parties import Destination
+from fleet.standins import Destination
 from fleet.story import Event, Story
 
 CLASSES = {"orders": Class("keyed", 6.0), "scores": Class("safe"), "entries": Class("unsafe")}
