--- a/tests/fleet/story.py
+++ b/tests/fleet/story.py
@@ -14,7 +14,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Event:
-    """`at` in seconds since the run began; `kind` and `facts` as the parties name them in `standins.py` and `rig.py`."""
+    """`at` in seconds since the run began; `kind` and `facts` as the parties name them in `standins.py` and
+    `rig.py`."""
 
     at: float
     kind: str
