What is known is gathered only when it is due to be stored; the rig's listeners are one

Read again: Relay.keep gathered all routes and shares four times a second while work was open, and Memory.keep threw three of four away; worse, the mark of a changed list was cleared before that, so with no work open a new list that came within a second of a write was stored only with the next change. Memory.due is asked first now. In the rig, TcpLink and Server started, stopped and counted their connections by the same lines; both are Listeners. Left: doubts.harmless_again and rules.refusable say the same of a class; the decision module imports nothing of recovery/.

--- a/calicohitch/net/relay.py
+++ b/calicohitch/net/relay.py
@@ -313,15 +313,16 @@
             await anyio.sleep(_KEEP_S)
             if not self.came_back.told:
                 self._tell_return()
-            if self._memory_of_world and self.ready and (self._open or self.heard_since_kept):
+            memory, news = self._memory_of_world, self._open or self.heard_since_kept
+            if memory and self.ready and news and memory.due(self._clock.now()):
                 self.keep()
 
-    def keep(self, force: bool = False) -> None:
+    def keep(self) -> None:
         """Store what is known of the world now."""
         if self._memory_of_world and self._journal.may_act():
             self.heard_since_kept = False
             self._memory_of_world.keep(self._clock.now(), self._sender.known(), self._name_of,
-                str(self._config.discovery), self._discovery.version, self._directory.told, force)
+                str(self._config.discovery), self._discovery.version, self._directory.told)
 
     def _name_of(self, endpoint: int) -> str:
         member = self._directory.get(endpoint)
--- a/calicohitch/recovery/memory.py
+++ b/calicohitch/recovery/memory.py
@@ -85,11 +85,13 @@
         on_time = tuple(told.on_time.get(name, (0, 0)) for name in self._classes)
         return Recalled(tuple(routes), on_time)
 
+    def due(self, wall: float) -> bool:
+        """Whether the last write is a second old: asked before what is known is gathered."""
+        return wall - self._kept_at >= _EVERY_MS
+
     def keep(self, wall: float, known: Recalled, name: Callable[[int], str], discovery: str, revision: int | None,
-             members: Callable[[], list[dict[str, Any]]], force: bool = False) -> None:
-        """Store what is known now, once a second at most; `members` in discovery's form."""
-        if not force and wall - self._kept_at < _EVERY_MS:
-            return
+             members: Callable[[], list[dict[str, Any]]]) -> None:
+        """Store what is known now; `members` in discovery's form."""
         self._kept_at = wall
         routes = tuple(
             beliefs.KnownRoute(was.dest, name(was.endpoint) if was.endpoint is not None else "", *was.share, was.sick,
--- a/calicohitch/service.py
+++ b/calicohitch/service.py
@@ -92,7 +92,7 @@
                     await anyio.sleep(0.05)
                 if tracer:
                     await tracer.drain()
-                relay.keep(force=True)
+                relay.keep()
                 tasks.cancel_scope.cancel()
         finally:
             relay.close()
--- a/tests/fleet/links.py
+++ b/tests/fleet/links.py
@@ -41,21 +41,17 @@
     return Fault(drop_up=True, drop_down=True, silent=True)
 
 
-class TcpLink:
-    """Listens at `port` and leads to an address. `names` maps the port of a connection onward to the link's name, so
-    that the party behind it knows who calls."""
+class Listener:
+    """Listens on the loopback from `start` to `stop`, which ends what it has open as well."""
 
-    def __init__(self, name: str, to: tuple[str, int], names: dict[int, str] | None = None) -> None:
-        self.name, self._to, self._names = name, to, names if names is not None else {}
-        self.fault = Fault()
-        self.port = 0
-        self.opened = 0
+    def __init__(self) -> None:
+        self.address = ("127.0.0.1", 0)
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
-        self._server = await asyncio.start_server(self._accepted, "127.0.0.1", 0, backlog=256)
-        self.port = self._server.sockets[0].getsockname()[1]
+        self._server = await asyncio.start_server(self._entered, "127.0.0.1", 0, backlog=512)
+        self.address = self._server.sockets[0].getsockname()[:2]
 
     async def stop(self) -> None:
         if self._server:
@@ -64,10 +60,34 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    async def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _entered(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
         assert task
         self._tasks.add(task)
+        try:
+            await self._accepted(reader, writer)
+        finally:
+            self._tasks.discard(task)
+
+    async def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        raise NotImplementedError
+
+
+class TcpLink(Listener):
+    """Listens at `port` and leads to an address. `names` maps the port of a connection onward to the link's name, so
+    that the party behind it knows who calls."""
+
+    def __init__(self, name: str, to: tuple[str, int], names: dict[int, str] | None = None) -> None:
+        super().__init__()
+        self.name, self._to, self._names = name, to, names if names is not None else {}
+        self.fault = Fault()
+        self.opened = 0
+
+    @property
+    def port(self) -> int:
+        return self.address[1]
+
+    async def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.opened += 1
         onward: asyncio.StreamWriter | None = None
         try:
@@ -91,7 +111,6 @@
             for each in (writer, onward):
                 if each is not None:
                     _reset(each)
-            self._tasks.discard(task)
 
     async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, up: bool) -> None:
         while data := await reader.read(_READ):
--- a/tests/fleet/standins.py
+++ b/tests/fleet/standins.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
+from fleet.links import Listener
 from fleet.story import Story
 
 _LOOK_S = 0.01  # between two looks whether a caller is still there
@@ -38,31 +39,15 @@
     return Request(method, target, headers, await reader.readexactly(int(headers.get("content-length", 0))))
 
 
-class Server:
+class Server(Listener):
     """HTTP/1.1 with kept connections. `names` tells which relay's link a connection came by."""
 
     def __init__(self, handle: Handler) -> None:
+        super().__init__()
         self._handle = handle
         self.names: dict[int, str] = {}
-        self.address = ("127.0.0.1", 0)
-        self._server: asyncio.Server | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
-
-    async def start(self) -> None:
-        self._server = await asyncio.start_server(self._accepted, "127.0.0.1", 0, backlog=512)
-        self.address = self._server.sockets[0].getsockname()[:2]
-
-    async def stop(self) -> None:
-        if self._server:
-            self._server.close()
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        task = asyncio.current_task()
-        assert task
-        self._tasks.add(task)
         port = writer.get_extra_info("peername")[1]
         with suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError, ValueError):
             while True:
@@ -74,7 +59,6 @@
                 writer.write(f"HTTP/1.1 {status} X\r\n{lines}Content-Length: {len(body)}\r\n\r\n".encode() + body)
                 await writer.drain()
         writer.close()
-        self._tasks.discard(task)
 
     async def _request(self, reader: asyncio.StreamReader, port: int) -> Request:
         """Who calls is known by the time a request is whole: the link names a connection once it is up."""
