--- a/calicohitch/journal.py
+++ b/calicohitch/journal.py
@@ -130,6 +130,7 @@
         self._segments: deque[_Segment] = deque()
         self._home: dict[int, _Segment] = {}  # open message -> the segment that it was taken on in
         self._fd = -1
+        self._spoilt = False  # a write to the newest segment failed: the next one begins another
         self._last = 0  # number of the newest segment
         self._aside = 0  # bytes on disk of what is kept for inspection
         self.entries: dict[int, Entry] = {}
@@ -204,18 +205,32 @@
         record = self._record(kind, number, data) + behind
         try:
             self._check()
-            if self._fd < 0 or _FIRST < self._segments[-1].size > self._roll_at - len(record):
+            if self._fd < 0 or _FIRST < self._segments[-1].size > self._roll_at - len(record) or self._spoilt:
                 self._roll()
             segment = self._segments[-1]
-            written = os.write(self._fd, record)
+            self._written(segment, record)
         except (OSError, FolderProblem) as err:
             raise JournalFull(str(err)) from err
-        if written < len(record):  # a full disk; half a record would hide all that follows it
-            os.ftruncate(self._fd, segment.size)
-            raise JournalFull("the disk is full")
         segment.size += len(record)
         return segment
 
+    def _written(self, segment: _Segment, record: bytes) -> None:
+        """Guards what follows against a disk that fails in the middle: half a record is cut off, and a segment that
+        holds something is not written to again, since what failed once may be the file's own trouble."""
+        written = 0
+        try:
+            written = os.write(self._fd, record)
+            if written < len(record):
+                raise OSError("the disk is full")
+        except OSError:
+            self._spoilt = segment.size > _FIRST
+            if written:
+                try:
+                    os.ftruncate(self._fd, segment.size)
+                except OSError:  # it stays: a reader skips it as damage, and nothing is written behind it
+                    self._spoilt = True
+            raise
+
     def _roll(self) -> None:
         path = self._folder / f"journal-{self._last + 1:08d}.log"
         header = self._record(_Kind.HEADER, 0, _HEADER.pack(FORMAT, self._life, self._last + 1))
@@ -229,6 +244,7 @@
             raise
         self.close()
         self._fd = fd
+        self._spoilt = False
         self._last += 1
         self._segments.append(_Segment(path, len(header)))
 
@@ -278,16 +294,14 @@
         self._over.clear()
 
     def _load(self, path: Path) -> None:
-        """Read a segment to its end; a torn end, of an act that was not made, is cut off."""
+        """Read a segment to its end; a torn end, of an act that was not made, is left where it is. Guards what the next
+        life reads: behind a damaged record the same bytes less their end can be read in another way."""
         data = path.read_bytes()
         segment = _Segment(path, len(data))
         self._segments.append(segment)
         for one in records(data):
             if isinstance(one, Lost):
-                if one.torn:
-                    os.truncate(path, one.offset)
-                    segment.size = one.offset
-                else:
+                if not one.torn:
                     self._lost(one, segment)
                 continue
             if one.mended:
--- a/calicohitch/recovery/salvage.py
+++ b/calicohitch/recovery/salvage.py
@@ -90,6 +90,15 @@
     return payload if zlib.crc32(payload) == checksum and 0 < payload[0] < KINDS else None
 
 
+def _torn(data: bytes, at: int) -> bool:
+    """Whether the data ends there, or in the middle of a record that begins there. Guards a damaged record before a
+    torn one: its length is right, and records in its body are no records."""
+    if at + FRAME.size > len(data):
+        return at == len(data)
+    length = int(FRAME.unpack_from(data, at)[0])
+    return SHORTEST <= length <= LARGEST and at + FRAME.size + length > len(data)
+
+
 def _next_whole(data: bytes, start: int) -> int:
     """Where the next whole record begins; the end of the data where there is none."""
     checked = 0
@@ -123,7 +132,7 @@
     length, checksum = FRAME.unpack_from(data, at)
     start, end = at + FRAME.size, at + FRAME.size + length
     plausible = SHORTEST <= length <= LARGEST
-    if plausible and end <= len(data) and (end == len(data) or _whole(data, end) is not None):
+    if plausible and end <= len(data) and (_whole(data, end) is not None or _torn(data, end)):
         payload = data[start:end]
         mended = mend(payload, checksum)
         if mended is not None and 0 < mended[0] < KINDS:
