--- a/tests/fleet/scenarios.py
+++ b/tests/fleet/scenarios.py
@@ -305,6 +305,80 @@
         return rig.audit()
 
 
+@_scenario
+async def herd_backlog(seed: int, code: str = "") -> Report:
+    """Much is held when most relays are killed, and what they knew of the limits is lost: the list's word for them is
+    all that they have, and what they send together stays within it."""
+    async with Rig(seed, 8, _dests(30.0), code=code) as rig:
+        await rig.start()
+        began = rig.story.now()
+        rig.load(3.0, 70.0, ("orders", "scores"))
+        await rig.at(began + 0.7)
+        for dest in rig.dests.values():
+            dest.limit = 4.0
+        rig.story.tell("fault", what="limits lowered")
+        await rig.at(began + 2.6)
+        names = rig.random.sample(sorted(rig.relays), 6)
+        rig.kill(*names)
+        for name in names:
+            for path in rig.relays[name].state.glob("beliefs-*"):
+                path.unlink()
+        for dest in rig.dests.values():
+            dest.limit = 30.0
+        rig.story.tell("fault", what="limits as they were, and nothing stored of them")
+        await asyncio.sleep(0.6)
+        for name in names:
+            rig.begin(name)
+        since = rig.story.now()
+        await rig.come(*names)
+        await rig.settled(8.5)
+        rig.told_full(*names)
+        report = rig.audit()
+        report.stampede(since, since + 2.0, {number: dest.limit for number, dest in rig.dests.items()}, 8)
+        return report
+
+
+@_scenario
+async def disk_fails(seed: int, code: str = "") -> Report:
+    """The disk of one of two relays gives errors for some seconds, with work in hand: nothing is sent, accepted or
+    ended without its record meanwhile, and what was held back ends once it is back."""
+    fails = (
+        "import errno, os\n"
+        "def failing(real):\n"
+        "    def call(*args):\n"
+        "        if os.path.exists({!r}): raise OSError(errno.EIO, os.strerror(errno.EIO))\n"
+        "        return real(*args)\n"
+        "    return call\n"
+        "os.write, os.pwrite, os.ftruncate = failing(os.write), failing(os.pwrite), failing(os.ftruncate)")
+    async with Rig(seed, 2, _dests(), code=code) as rig:
+        for dest in rig.dests.values():
+            dest.takes_s = 0.5
+        sign = rig.relays["r0"].folder / "disk-fails"
+        rig.begin("r0", fails.format(str(sign)))
+        rig.begin("r1")
+        await rig.come("r0", "r1")
+        rig.load(6.0, 60.0, left_s=3.0)
+        await asyncio.sleep(1.0)
+        for dest in rig.dests.values():
+            dest.fail = True  # so that work is held whose time ends meanwhile
+        await asyncio.sleep(0.7)
+        sign.touch()
+        rig.story.tell("fault", what="its disk fails", relay="r0")
+        await asyncio.sleep(1.0)
+        for dest in rig.dests.values():
+            dest.fail = False
+        await asyncio.sleep(3.0)
+        sign.unlink()
+        back = rig.story.now()
+        rig.story.tell("disk back", relay="r0")
+        await rig.settled(9.5)
+        if "was not renewed" not in rig.relays["r0"].log():
+            raise AssertionError(f"the disk of r0 did not fail:\n{rig.relays['r0'].log()}")
+        if not any(event.relay == "r0" and event.at >= back for event in rig.story.of("notice")):
+            raise AssertionError("no end waited for the disk")
+        return rig.audit()
+
+
 @_scenario
 async def herd_24(seed: int, code: str = "") -> Report:
     """24 relays, 17 killed in the same instant under load; only in the long list."""
