Few relays that start at once keep to parts of the list's weight, and of recalled limits

Cause: below 100 relays `Share.suppose` did nothing, and `Share.recall` left the allowance at 1.0, by which each relay may send ten times its part. Ruled out: the burst of tokens, which is one call and 0.3 s of the part. Change: both begin with the allowance at which each keeps to its part; the first answer replaces that whole (a first report has no earlier time, so its weight is 1). A lone relay has all of the limit.

--- a/calicohitch/core/common_share.py
+++ b/calicohitch/core/common_share.py
@@ -39,6 +39,7 @@
     """What a courier may send to one route, of `couriers` that send there."""
 
     notes = True
+    supposed_left = 1.0  # what may be sent follows from what comes, not from what is left
     fade = 1.0 * _SECOND
 
     def __init__(self, couriers: int, fields: Sequence[str] = ()) -> None:
@@ -49,12 +50,6 @@
         self._came, self._came_at = 0.0, 0  # messages a second, in the mean up to then
         self._recalled = 0.0  # messages a second in an earlier life
 
-    def suppose(self, now: int, limit: float) -> None:
-        """What the list says of the limit, until an answer tells it."""
-        if not self.heard and len(self._places) == 2 and 0 < limit < math.inf:
-            self._refill(now)
-            self.limit = limit
-
     def state(self) -> tuple[float, float, float]:
         return self.limit if self.heard else 0.0, self._times, self._came
 
@@ -92,7 +87,7 @@
             limit = self.limit + _SMOOTH * (limit - self.limit)
         self.limit = limit
 
-    def _adjust(self, now: int, since: int, left: float, full: bool) -> None:
+    def _adjust(self, now: int, since: float, left: float, full: bool) -> None:
         if now - self._cut_at <= _CUT_APART:
             return
         if full:
--- a/calicohitch/core/share.py
+++ b/calicohitch/core/share.py
@@ -25,6 +25,7 @@
     """What a courier may send to one route, of `couriers` that send there."""
 
     notes = False  # whether couriers tell each other of its limits
+    supposed_left = _SCARCE  # share of the allowance where a limit is known and nothing of what is left of it
     fade = 1.5 * _SECOND  # what was told counts for less by a factor of e after so long
 
     def __init__(self, couriers: int, fields: Sequence[str] = ()) -> None:
@@ -34,7 +35,7 @@
         self.limit = 0.0  # calls a second of all couriers, as last told; 0: none is known
         self._left = 1.0  # share of the allowance, in the mean over answers
         self._keep = _KEEP
-        self._told_at = 0
+        self._told_at = -math.inf
         self.heard = False  # an answer told the limit
         self._tokens, self._at = 1.0, 0  # at most, and fewer after calls; counted up to then
 
@@ -44,7 +45,10 @@
         return self.limit / self._couriers
 
     def suppose(self, now: int, limit: float) -> None:
-        """What the list says of the limit; a few couriers learn it from answers soon enough."""
+        """What the list says of the limit, until an answer tells it: all that start at once keep to their parts."""
+        if not self.heard and len(self._places) == 2 and 0 < limit < math.inf:
+            self._refill(now)
+            self.limit, self._left = limit, self.supposed_left
 
     def noted(self, now: int, limit: float) -> None:
         """Another courier was told this limit."""
@@ -54,8 +58,9 @@
         return self.limit if self.heard else 0.0, 1.0, 0.0
 
     def recall(self, limit: float, times: float, came: float) -> None:
-        """Go on from what an earlier life knew, before anything is told."""
-        self.limit, self.heard = limit, limit > 0
+        """Go on from what an earlier life knew, before anything is told: of the allowance nothing is known."""
+        if limit > 0:
+            self.limit, self.heard, self._left = limit, True, self.supposed_left
 
     def came(self, now: int, share: float = 1.0) -> None:
         """A message came, of which so much is for this route; an equal part does not go by that."""
@@ -82,7 +87,7 @@
         """A limit is told that is believed."""
         self.limit = limit
 
-    def _adjust(self, now: int, since: int, left: float, full: bool) -> None:
+    def _adjust(self, now: int, since: float, left: float, full: bool) -> None:
         """Send more or less by one more answer that is believed, `since` after the one before."""
         self._keep = max(_LEAST, self._keep * _CUT) if full else min(_KEEP, self._keep + _EASE)
 
--- a/tests/fleet/mutants.py
+++ b/tests/fleet/mutants.py
@@ -97,6 +97,13 @@
     Claim.renew = lambda self: None  # type: ignore[method-assign]
 
 
+@_mutant("a start knows no limit", "stampede")
+def _unpaced() -> None:
+    from calicohitch.core.share import Share
+
+    Share.suppose = lambda self, now, limit: None  # type: ignore[method-assign]
+
+
 @_mutant("keys are remembered for ever", "repeat")
 def _window() -> None:
     from calicohitch.state import Message
--- a/tests/fleet/test_scenarios.py
+++ b/tests/fleet/test_scenarios.py
@@ -22,6 +22,7 @@
     "deaf to waits": "drains", "blind to drains": "drains", "silent about ends": "outage",
     "no record of attempts": "herd_slow", "no record of ends": "herd_slow", "nothing is taken up again": "herd_slow",
     "a hidden second call": "herd_slow", "the folder is anybody's": "stalled", "keys are remembered for ever": "outage",
+    "a start knows no limit": "herd_backlog",
 }
 
 
@@ -48,11 +49,11 @@
                     self.assertTrue(2 <= event.carried <= 60, event)
 
     def test_a_herd_comes_back(self) -> None:
-        self.kept("herd", "herd_damaged", "herd_silent", "herd_lowered", "herd_twice")
+        self.kept("herd", "herd_damaged", "herd_silent", "herd_lowered", "herd_twice", "herd_backlog")
 
     def test_folders_and_links(self) -> None:
         self.kept("stalled", "shared", "rolled_back", "links", "drains", "outage", "herd_slow",
-            "clock_back", "clock_forward", "notes", "disk_full")
+            "clock_back", "clock_forward", "notes", "disk_full", "disk_fails")
 
 
 class Mutants(unittest.TestCase):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -12,7 +12,9 @@
 from calicohitch import interface as i
 from calicohitch.core.backoff import Backoff
 from calicohitch.core.common_share import CommonShare
+from calicohitch.core.seam import Refusal
 from calicohitch.core.share import Share
+from calicohitch.intake.submission import refusal
 from calicohitch.rules import SECOND
 
 REPORTS = (i.Report("x0"), i.Report("x1"))
@@ -217,6 +219,28 @@
         blind.suppose(0, 100.0)
         self.assertEqual(blind.limit, 0.0)
 
+    def test_few_that_start_at_once_keep_to_the_lists_word_or_what_an_earlier_life_was_told(self) -> None:
+        """Below 100 couriers nothing held a start back: each sent ten times its part at once."""
+        for couriers in (1, 4, 24, 99):
+            for recalled in (False, True):
+                with self.subTest(couriers=couriers, recalled=recalled):
+                    sent = 0
+                    for _ in range(couriers):
+                        share = Share(couriers, ("x0", "x1"))
+                        if recalled:
+                            share.recall(100.0, 1.0, 0.0)
+                        else:
+                            share.suppose(0, 100.0)
+                        for now in range(0, SECOND, 10 * MS):
+                            while share.due() <= now:
+                                share.sent(now)
+                                sent += 1
+                            share._refill(now)
+                    self.assertLess(sent, 90 + 30 + couriers)  # the limit, a burst of 0.3 s, and a call of each
+                    self.assertGreater(sent, 80)
+                    share.told(SECOND, (1.0, 100.0), False)  # the first answer replaces what was supposed
+                    self.assertGreater(share.rate(), 8 * share.part)
+
     def test_what_is_left_sets_how_much_more_than_its_part_a_courier_sends(self) -> None:
         rates = [self.share(left).rate() for left in (0.0, 0.4, 0.7, 1.0)]
         self.assertEqual(rates, sorted(rates))
@@ -261,6 +285,19 @@
 
 
 class Jitter(unittest.TestCase):
+    def test_messages_that_are_given_up_together_are_told_to_come_again_apart(self) -> None:
+        """All were told the same moment, and came again in it."""
+        waits = set()
+        for seed in range(20):
+            courier = Courier(seed=seed)
+            courier.list(i.Listed(11, 1))
+            for _ in range(5):
+                waits |= {said.retry_after for said in courier.arrive(left=1) if isinstance(said, i.Refuse)}
+        self.assertGreater(len(waits), 15)
+        self.assertTrue(all(SECOND // 2 <= wait <= SECOND * 3 // 4 for wait in waits), waits)
+        told = [refusal(Refusal.STOPPING, drawn / 10).headers[0][1] for drawn in range(10)]
+        self.assertEqual((told[0], len(set(told))), (b"0.1", 10))
+
     def test_callers_that_failed_together_come_back_apart_and_not_too_often(self) -> None:
         for callers in (1, 2, 3, 40, 48, 400):
             with self.subTest(callers=callers):
