Clients that are refused or given up together are told to come again apart; one word for harmless

Seen: `rules._advice` told all messages of a destination that ended together one time, and `Refusal.come_again_ms` all clients of a stopping relay the same 100 ms, so they came in one instant. Half as long again is drawn now. Messages that may come again are named by `MessageClass.harmless_again` (rules.refusable and doubts.harmless_again said the same apart). Notes of other relays that cannot be read were counted and never told: they are logged at 1, 11, 111 and so on.

--- a/calicohitch/intake/clients.py
+++ b/calicohitch/intake/clients.py
@@ -9,6 +9,7 @@
 
 import errno
 import os
+import random
 import socket
 from contextlib import suppress
 
@@ -65,6 +66,7 @@
         self.shares = Shares(self._set.caps, relay.max_clients)
         self.account = Account()
         self._load = Load(self._set.load, seed)
+        self._random = random.Random(seed + 1)
         self._ready: FairQueue[Seat] = FairQueue()
         self._busy = False  # something came since the loop's lateness was last measured
         self._spare = -1  # a descriptor that is kept for a word to those for whom there is none
@@ -396,7 +398,7 @@
         if isinstance(number, Refusal):
             if number is not Refusal.TAKEN:
                 self.account.shed(number.value, seat.source)
-            return refusal(number), None, None
+            return refusal(number, self._random.random()), None, None
         self.shares.took_on(seat.source, now)
         return ACCEPTED, number, told
 
--- a/calicohitch/interface.py
+++ b/calicohitch/interface.py
@@ -90,6 +90,11 @@
     in_order: bool = False
     streamed: bool = False
 
+    @property
+    def harmless_again(self) -> bool:
+        """Whether its client may hand in a message of this class again, whatever became of it."""
+        return self.effect is Effect.SAFE or self.effect is Effect.KEYED and self.group == "all"
+
 
 @dataclass(frozen=True, slots=True)
 class Kind:
--- a/calicohitch/net/relay.py
+++ b/calicohitch/net/relay.py
@@ -40,6 +40,7 @@
 _LIST_S = 0.3
 _OVERDUE_MS = 100.0
 _KEEP_S = 0.25  # between two looks at what the next life had better know
+_UNREAD_GROWS = 10  # times what was logged, before it is logged again
 _TOLD_DAMAGES = 20  # stretches of the journal that are logged one by one
 
 
@@ -309,10 +310,15 @@
 
     async def _keep(self) -> None:
         """Tell how the return goes, and store what the next life had better know."""
+        unread = 0  # notes, as last logged
         while True:
             await anyio.sleep(_KEEP_S)
             if not self.came_back.told:
                 self._tell_return()
+            if self._sender.news.unread > _UNREAD_GROWS * unread:
+                unread = self._sender.news.unread
+                logger.bind(event="notes.unread", count=unread).warning(
+                    "{} notes from other relays could not be read and were left out", unread)
             memory, news = self._memory_of_world, self._open or self.heard_since_kept
             if memory and self.ready and news and memory.due(self._clock.now()):
                 self.keep()
--- a/calicohitch/recovery/claim.py
+++ b/calicohitch/recovery/claim.py
@@ -28,7 +28,7 @@
 import anyio
 from loguru import logger
 
-from .problems import FolderInUse, FolderLost, FolderProblem, unusable
+from .problems import FolderInUse, FolderLost, unusable
 
 TERM_S = 2.0
 EXPIRED_S = 5.0
@@ -224,7 +224,3 @@
             logger.bind(event="claim.waiting").info("waiting for the folder {}: {}", folder, watcher.why)
         await anyio.sleep(_LOOK_S)
     return claim
-
-
-__all__ = ["EXPIRED_S", "RENEW_S", "TERM_S", "WAIT_S", "Claim", "FolderInUse", "FolderLost", "FolderProblem",
-           "Watcher", "claimed"]
--- a/calicohitch/recovery/doubts.py
+++ b/calicohitch/recovery/doubts.py
@@ -7,15 +7,10 @@
 
 from __future__ import annotations
 
-from ..interface import Effect, MessageClass
+from ..interface import MessageClass
 from ..journal import Attempt, End, Entry
 
 
-def harmless_again(cls: MessageClass) -> bool:
-    """Whether its client may hand in a message of this class again, whatever became of it."""
-    return cls.effect is Effect.SAFE or cls.effect is Effect.KEYED and cls.group == "all"
-
-
 def earliest(entry: Entry, cls: MessageClass) -> float:
     """The first time, in milliseconds, that an attempt nobody knows of can have been made: not before the message was
     taken on, and not before the journal was last whole."""
@@ -36,4 +31,4 @@
     """The end of a message that cannot be delivered any more, since its body is lost; None where it can be."""
     if not entry.bodiless or entry.end:
         return None
-    return End(handed_back=harmless_again(cls))
+    return End(handed_back=cls.harmless_again)
--- a/calicohitch/rules.py
+++ b/calicohitch/rules.py
@@ -58,8 +58,7 @@
 
 
 def refusable(message: Message) -> bool:  # coming again must be harmless
-    keyed_anywhere = message.cls.effect is Effect.KEYED and message.cls.group == "all"
-    return message.cls.effect is Effect.SAFE or not message.may_have_run or keyed_anywhere
+    return message.cls.harmless_again or not message.may_have_run
 
 
 def repeatable(message: Message, now: int) -> bool:  # by what the earlier attempts prove
@@ -94,7 +93,7 @@
         self._actions: list[Action] = []
         self._mean: float | None = None  # latency of served calls, over all destinations
         self._timer_at = self._slots_taken = 0
-        self._news = LimitNews(seed)
+        self.news = LimitNews(seed)
         self._ask_at, self._ask_pause = -1, ASK_AGAIN
         names = [report.name for report in settings.reports]
         self._new_route: Callable[[], Route] = lambda: Route(self._now, share_of(settings.couriers, names))
@@ -113,7 +112,7 @@
         self._release()
         self._make_room()
         self._arm()
-        if self._set.may_tell and (note := self._news.due(now)):
+        if self._set.may_tell and (note := self.news.due(now)):
             self._actions.append(Tell(None, note))
         return self._actions
 
@@ -184,7 +183,7 @@
         if event.outcome in (Outcome.CANCELLED, Outcome.MOOT) or event.stale:
             return
         shared = endpoint.told.dest if route is dest.routes.get(SHARED) else None
-        self._news.told(now, shared, route.share, event.report, event.outcome is Outcome.FULL)
+        self.news.told(now, shared, route.share, event.report, event.outcome is Outcome.FULL)
         if call.again and event.outcome in (Outcome.OK, Outcome.FULL):
             # Guards against limits that refused calls use up: there trying again shuts out all. Where most of
             # a kind's second tries are refused, its rests double. Harm: a full partner slows its kind.
@@ -328,7 +327,7 @@
             self._touched[endpoint.told.dest] = None
 
     def _peer_said(self, event: PeerSaid) -> None:
-        for name, limit in self._news.heard(self._now, event.data):
+        for name, limit in self.news.heard(self._now, event.data):
             if (dest := self._dests.get(name)) and SHARED in dest.routes:
                 dest.routes[SHARED].share.noted(self._now, limit)
                 self._touched[name] = None
@@ -370,9 +369,11 @@
         self._forget(message)
 
     def _advice(self, dest: Destination) -> int:
-        """How long a client had better stay away: until the destination opens, a trial's pause at least."""
+        """How long a client had better stay away: until the destination opens, a trial's pause at least;
+        up to half as long again is drawn, since those that are given up together would come together."""
         opens = max(dest.rest_until, min((e.route.rest_until for e in dest.ends.values()), default=0))
-        wait = min(max(opens - self._now, TRIAL), self._set.max_retry_after)
+        wait = max(opens - self._now, TRIAL) * (1 + self._random.random() / 2)
+        wait = min(int(wait), self._set.max_retry_after)
         return wait if self._set.retry_after else 0
 
     def _drop_late(self) -> None:
