Copies of work in hand at other relays, and who takes it over, once

A holder claims parts by a transaction once the lease is gone and it has heard nothing for as long as the owner may believe that it was heard, journals and copies them on, adopts them, and only then acts. Planned stops hand over; a relay that was replaced ends with 79.

Found by processes: a read that arrived behind the watch was taken for a store that went back, and two relays began a new generation by it, so that a lost relay's work was never claimed ("went back from revision 14 to 13"); a returned relay asked for its folder's messages before it had read the folder, and took up what others had; a relay never tried counted as late, so that a lost holder was replaced only after its lease. What a stalled owner has on the wire is waited for.

--- a/calicohitch/commands/__init__.py
+++ b/calicohitch/commands/__init__.py
@@ -13,6 +13,7 @@
     "check-config": "read that configuration, say what is wrong with it, and end",
     "traces": "look into exported traces: show, slow, why",
     "clients": "tell from a log who was shed, and why",
+    "fleet": "who is in the fleet, and whose work is whose: status, show, who",
     "recovery": "tell from logs how returns went, phase by phase",
     "version": "print the version",
 }
--- a/calicohitch/commands/check_config.py
+++ b/calicohitch/commands/check_config.py
@@ -16,5 +16,5 @@
     classes = ", ".join(config.names.classes)
     print(f"{config.name}: listens at {config.listen}, asks {config.discovery}, classes {classes}")
     if operator_path:
-        on = ", ".join(name for name in ("tracing", "grpc", "clients") if getattr(operator, name)) or "nothing"
+        on = ", ".join(name for name in ("tracing", "grpc", "clients", "fleet") if getattr(operator, name)) or "nothing"
         print(f"{operator_path}: settings of {on}; logs are {operator.logs.format}")
--- a/calicohitch/config/operator.py
+++ b/calicohitch/config/operator.py
@@ -5,13 +5,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import TYPE_CHECKING
 
 from .platform import Address, ConfigError
 
 if TYPE_CHECKING:
+    from ..fleet.settings import FleetSettings
     from ..grpc.settings import GrpcSettings
     from ..intake.admission.settings import AdmissionSettings
     from ..tracing.settings import TracingSettings
@@ -44,6 +45,7 @@
     grpc: GrpcSettings | None = None
     clients: AdmissionSettings | None = None
     recovery: RecoverySettings = RecoverySettings()
+    fleet: FleetSettings | None = None
 
 
 LEVELS = ("TRACE", "DEBUG", "INFO", "SUCCESS", "WARNING", "ERROR", "CRITICAL")
@@ -64,8 +66,10 @@
     grpc = root.child("grpc")
     clients = root.child("clients")
     back = root.child("recovery")
+    fleet = root.child("fleet")
     operator = Operator(logs, _tracing(node, path.parent) if node else None, _grpc(grpc, classes) if grpc else None,
-        _clients(clients) if clients else None, _recovery(back) if back else RecoverySettings())
+        _clients(clients) if clients else None, _recovery(back) if back else RecoverySettings(),
+        _fleet(fleet, classes) if fleet else None)
     root.done()
     if problems:
         listed = "".join(f"\n  {problem}" for problem in problems)
@@ -173,6 +177,67 @@
     return settings
 
 
+def _fleet(node: kdl.Node, classes: tuple[str, ...]) -> FleetSettings:
+    from ..fleet.settings import CopyMode, FleetSettings
+
+    def address(told: kdl.Node, what: str) -> Address:
+        return told.parsed(what, told.argument(what), lambda text: Address.parse(text, "it")) or Address("127.0.0.1", 1)
+
+    usual = FleetSettings("", Address("127.0.0.1", 1), Address("127.0.0.1", 1))
+    name = node.argument("the fleet's name")
+    store, listen, lease, copies = (node.child(name) for name in ("store", "listen", "lease", "copies"))
+    for what, told in (("store", store), ("listen", listen)):
+        if told is None:
+            node.complain(f'{what} is missing; add it, as in {what} "127.0.0.1:2379"')
+    at = address(store, "HOST:PORT") if store else usual.store
+    here = address(listen, "HOST:PORT") if listen else usual.listen
+    shown = listen.text("advertise", "") if listen else ""
+    advertise = listen.parsed("advertise", shown, lambda text: Address.parse(text, "it")) if listen and shown else None
+    timeout = float(store.number("timeout-ms", usual.store_timeout_ms, 20, 60_000)) if store else usual.store_timeout_ms
+    zone = node.text("zone", "")
+    for told in (store, listen):
+        if told:
+            told.done()
+    ttl, renew, pause, grace = usual.ttl_ms, usual.renew_ms, usual.pause_ms, usual.grace_ms
+    if lease:
+        ttl = float(lease.number("ttl-ms", ttl, 500, 600_000))
+        renew = float(lease.number("renew-ms", min(renew, ttl / 3), 50, 600_000))
+        pause = float(lease.number("pause-ms", min(pause, ttl / 5), 0, 60_000))
+        grace = float(lease.number("grace-ms", grace, 0, 600_000))
+        if 2 * renew + pause > ttl * 0.98:
+            lease.complain(f"two renewals ({renew:g} ms each) and a pause ({pause:g} ms) must fit into the lease of "
+                           f"{ttl:g} ms, or one late answer ends it: shorten renew-ms or lengthen ttl-ms")
+        lease.done()
+    settings = FleetSettings(name, at, here, advertise, zone, ttl_ms=ttl, renew_ms=renew, pause_ms=pause,
+        grace_ms=grace, store_timeout_ms=timeout)
+    count = usual.copies
+    if copies:
+        count = copies.whole("count", usual.copies, 0, 5)
+        settings = replace(settings, parts=copies.whole("parts", usual.parts, 1, 64),
+            copy_timeout_ms=float(copies.number("timeout-ms", usual.copy_timeout_ms, 20, 60_000)),
+            beat_ms=float(copies.number("beat-ms", usual.beat_ms, 20, 60_000)),
+            hold_bytes=int(copies.number("hold-mb", usual.hold_bytes / 1e6, 0.1, 100_000) * 1e6),
+            queue_bytes=int(copies.number("queue-kb", usual.queue_bytes / 1e3, 256, 1e6) * 1e3))
+        if 3 * settings.beat_ms > ttl:
+            copies.complain(f"three beats ({settings.beat_ms:g} ms each) must fit into the lease of {ttl:g} ms")
+        copies.done()
+    modes = {cls: CopyMode("first" if count else "none", "refuse" if count else "alone") for cls in classes}
+    for told in node.children("class"):
+        cls = told.argument("the class", among=classes)
+        mode = CopyMode(told.text("copy", "first", ("first", "behind", "none")),
+            told.text("without", "refuse", ("refuse", "alone")))
+        if mode.when != "none" and not count:
+            told.complain("it needs copies and none are kept: set copies count=1 or more, or copy=\"none\"")
+        modes[cls] = mode
+        told.done()
+    over = node.child("stop")
+    hand_over = over.text("hand-over", "yes", ("yes", "no")) == "yes" if over else True
+    if over:
+        over.done()
+    node.done()
+    return replace(settings, copies=count, hand_over=hand_over, classes=tuple(modes[cls] for cls in classes))
+
+
 def _clients(node: kdl.Node) -> AdmissionSettings:
     from ipaddress import ip_network
 
--- a/calicohitch/core/seam.py
+++ b/calicohitch/core/seam.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from enum import Enum
 from typing import TYPE_CHECKING, Any, Protocol
@@ -20,6 +20,7 @@
 from ..interface import Outcome
 
 if TYPE_CHECKING:
+    from ..journal import Entry
     from ..tracing.facts import AttemptFacts
 
 
@@ -30,6 +31,7 @@
     STOPPING = "the relay is stopping"
     FULL = "no room for another message"
     BUSY = "too much work at once"
+    UNCOPIED = "too few relays hold copies"
     LEFT = "the client has left"
     NO_KEY = "a message of this class needs a key"
     UNKNOWN = "no endpoint is known for the destination"
@@ -39,7 +41,7 @@
     @property
     def come_again_ms(self) -> float:
         """After how long its client may hand it in again: here once there is room, else at once at another relay."""
-        return 1_000.0 if self in (Refusal.FULL, Refusal.UNKNOWN, Refusal.BUSY) else 100.0
+        return 1_000.0 if self in (Refusal.FULL, Refusal.UNKNOWN, Refusal.BUSY, Refusal.UNCOPIED) else 100.0
 
 
 class How(Enum):
@@ -113,6 +115,67 @@
     answer: Any = None
 
 
+class Copies(Protocol):
+    """What a relay knows of copies of its work, where other relays hold them (`takeover/`). Messages go by their
+    numbers; of those that are not copied all is safe, and all may be done."""
+
+    def attach(self, relay: Adopter) -> None: ...
+
+    async def run(self) -> None: ...
+
+    async def begin(self, entries: dict[int, Entry]) -> set[int]:
+        """Settle whose the folder's messages are: the numbers of those that are others' by now."""
+
+    def covers(self, entry: Entry) -> bool:
+        """Whether a message is copied, or was."""
+
+    def refuses(self, class_index: int, wire_id: str) -> Refusal | None:
+        """Why no message of this class can be taken on now; None where one can."""
+
+    def opening(self, entry: Entry) -> None:
+        """A message is about to be journaled; `abandoned` follows where that cannot be done."""
+
+    def abandoned(self, number: int) -> None: ...
+
+    def record(self, number: int, payload: bytes, over: bool) -> None:
+        """A record of the journal was written; the last of its message where `over`."""
+
+    def waited(self, route: int, until: float) -> None:
+        """A destination, or an endpoint's route below zero, told to wait until then."""
+
+    def is_copied(self, number: int) -> bool: ...
+
+    def is_safe(self, number: int) -> bool:
+        """Whether all that was recorded of it is copied as its class asks."""
+
+    async def until_safe(self, number: int, within_s: float) -> bool: ...
+
+    def when_safe(self, number: int, then: Callable[[], None]) -> None: ...
+
+    def may_act(self, number: int) -> bool:
+        """Whether it is proved right now that nobody else has it."""
+
+    def may_end(self) -> bool:
+        """Whether ends may be told now."""
+
+    @property
+    def ends_waiting(self) -> int:
+        """Ends that wait until they are copied."""
+
+
+class Adopter(Protocol):
+    """What takes over others' messages: a relay."""
+
+    def take_up(self, entries: Sequence[Entry]) -> list[int]:
+        """Journal them under numbers of its own, and do nothing with them yet."""
+
+    def confirm(self, numbers: Sequence[int], waits: Mapping[int, float]) -> None:
+        """They are its own now. `waits`: routes that told to wait, until when by its clock."""
+
+    def drop(self, numbers: Sequence[int]) -> None:
+        """They are not."""
+
+
 class Delivery(Protocol):
     """Attempts in one protocol, over connections of its own."""
 
--- a/calicohitch/intake/clients.py
+++ b/calicohitch/intake/clients.py
@@ -333,6 +333,13 @@
     def _answer_now(self, seat: Seat, found: Common, waited_ms: float) -> None:
         told, number, submission = self._decide(seat, found.request, waited_ms)
         seat.handed_in = number is not None
+        if number is not None and submission and self._relay.awaits_copies(number):
+            self._answering += 1
+            self._leave(seat)
+            assert self._tasks
+            seat.scope = anyio.CancelScope()
+            self._tasks.start_soon(self._answer_copied, seat, number, submission, found.close)
+            return
         close = told.close or found.close or not self._keep_alive(number)
         data = answer(told.status, told.headers, told.body, close)
         try:
@@ -404,6 +411,29 @@
 
     # What takes a task.
 
+    async def _answer_copied(self, seat: Seat, number: int, submission: Submission, close: bool) -> None:
+        """Say that a message is taken on once others hold copies of it. Where they do not in time nothing is said: it
+        may be with some of them, and a refusal would promise that it is not."""
+        told = False
+        close = close or not self._keep_alive(number)
+        try:
+            assert seat.scope
+            with seat.scope, anyio.move_on_after(_REPLY_S):
+                if await self._relay.copied(number):
+                    await Link(seat.sock).send(answer(ACCEPTED.status, ACCEPTED.headers, ACCEPTED.body, close))
+                    told = True
+                else:
+                    self.account.shed("no copy in time", seat.source)
+        except OSError as err:
+            logger.debug("a client's connection ended: {}", err)
+        finally:
+            self._answering -= 1
+            if not told:
+                self._relay.withdraw(number)
+            self._task_over(seat, keep=told and not close)
+        if told:
+            self._relay.accept(number, submission)
+
     async def _finish(
         self, seat: Seat, rest: bytes, number: int | None, submission: Submission | None, close: bool
     ) -> None:
@@ -486,6 +516,9 @@
         told, number, submission = self._decide(seat, request)
         seat.handed_in = number is not None
         try:
+            if number is not None and not await self._relay.copied(number):
+                self.account.shed("no copy in time", seat.source)
+                raise ConnectionAbortedError("no copy in time")
             with anyio.fail_after(_REPLY_S):
                 await connection.respond(told.status, told.headers, told.body, told.close)
         except BaseException:
--- a/calicohitch/interface.py
+++ b/calicohitch/interface.py
@@ -324,7 +324,7 @@
 class RouteWas:
     """What an earlier life knew of a route; `endpoint` names it where endpoints are routes apart, else None. `share`:
     limit, times and messages a second, as `core/common_share.py` counts them. `cold_at`, `wait_until`: on this
-    clock."""
+    clock. `wait_only`: all that is known of it is that it told to wait."""
 
     dest: int
     endpoint: int | None = None
@@ -332,6 +332,7 @@
     sick: bool = False
     cold_at: int = -1
     wait_until: int = 0
+    wait_only: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/calicohitch/journal.py
+++ b/calicohitch/journal.py
@@ -29,13 +29,14 @@
 _HEAD = struct.Struct(">BQ")  # kind of record, message
 _TAKEN = struct.Struct(">dH")  # deadline, length of the JSON before the body
 _ATTEMPT = struct.Struct(">HdH")  # attempt, time sent, zone
+_UNTIL = struct.Struct(">Hd")  # attempt, until when it may be out
 _OUTCOME = struct.Struct(">HB")  # attempt, whether it may have run
 _END = struct.Struct(">Bd")  # handed back or given up, advice
 _HEADER = struct.Struct(">HQI")  # format, life, number of the segment
 _FIRST = FRAME.size + _HEAD.size + _HEADER.size  # bytes of a segment that holds nothing else yet
 _BLOCK = 512  # the platform counts each file in whole blocks of this size
 _AFTERWARDS = 640  # bytes kept free for each open message: eight attempts, their outcomes, its end
-_SHARE = 0.7  # of the disk that the journal uses at most; the rest is a margin
+DISK_SHARE = 0.7  # of the disk that the journal uses at most; the rest is a margin
 _SEGMENT = re.compile(r"journal-(\d{8,18})\.log")
 _ASIDE = "damaged-"  # before the name of a segment that is kept for inspection
 _MOST_ASIDE, _ASIDE_SHARE = 4, 0.05  # files, and share of the disk's budget
@@ -54,6 +55,11 @@
     CALL = 7  # like TAKEN, of a client's open call, whose body is not kept: a reader that does not know it skips it
     TRACE = 6  # opaque to the journal; a reader that does not know it skips it
     HEADER = 8  # of message 0: the first of a segment; a reader that does not know it skips it
+    UNTIL = 10  # for how long an attempt may be out, where others may take over; skipped like ORIGIN
+    ORIGIN = 9  # whose work it was before it was taken over; a reader that does not know it skips it
+
+
+_OF_MESSAGES = frozenset(_Kind) - {_Kind.HEADER}
 
 
 @dataclass(slots=True)
@@ -64,6 +70,7 @@
     zone: int
     may_have_run: bool = True
     settled: bool = False  # its outcome is known
+    until: float = 0.0  # its relay waits no longer for it; 0 where that is not known
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +81,16 @@
     retry_in: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class Origin:
+    """Where a message that was taken over comes from. Until `confirmed` it may still be another relay's."""
+
+    relay: str
+    epoch: int
+    part: int
+    confirmed: bool = False
+
+
 @dataclass(slots=True)
 class Entry:
     """A message that was taken on, as far as the journal knows it."""
@@ -92,6 +109,7 @@
     doubtful: bool = False  # an attempt after `whole_until`, or its end, may be missing
     whole_until: float = 0.0  # the last time, before the damage, that the journal tells
     bodiless: bool = False  # its body is damaged: it can be ended and no more
+    origin: Origin | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,6 +134,9 @@
         return -(-self.size // _BLOCK) * _BLOCK
 
 
+Copier = Callable[[int, bytes, bool], None]  # message, payload of the record, whether it is the last
+
+
 class Journal:
     """The journal of one relay. `entries` holds what an earlier life left open, after the start, `damage` what of its
     files was not whole, and `orphans` how many messages are known by later records only. FolderProblem where the folder
@@ -124,7 +145,7 @@
     def __init__(
         self, folder: Path, disk_bytes: float, life: int = 0, check: Callable[[], None] = lambda: None
     ) -> None:
-        self._budget = int(disk_bytes * _SHARE)
+        self._budget = int(disk_bytes * DISK_SHARE)
         self._roll_at = max(4096, min(128 << 10, self._budget // 16))
         self._folder, self._life, self._check = folder, life, check
         self._segments: deque[_Segment] = deque()
@@ -140,6 +161,7 @@
         self.written_until = 0.0  # the last time that an attempt was written, in milliseconds of Unix time
         self._over: set[int] = set()  # while segments are read: messages that are closed
         self._early: dict[int, list[tuple[int, bytes]]] = {}  # and records of messages that no segment told yet
+        self.copier: Copier | None = None  # told of each record that is written, and whether it is a message's last
         folder.mkdir(parents=True, exist_ok=True)
         self._load_all()
         self.next_number = max(self.next_number, life << 32)  # numbers of a damaged stretch are not used again
@@ -167,17 +189,45 @@
         return self.used() + later + body + 2 * _BLOCK < self._budget
 
     def taken(self, entry: Entry) -> None:
-        text = json.dumps([entry.id, entry.class_name, entry.dest, entry.key]).encode()
-        data = _TAKEN.pack(entry.deadline, len(text)) + text + (b"" if entry.call else entry.body)
         trace = self._record(_Kind.TRACE, entry.number, entry.trace) if entry.trace else b""
-        segment = self._append(_Kind.CALL if entry.call else _Kind.TAKEN, entry.number, data, trace)
+        segment = self._append(_Kind.CALL if entry.call else _Kind.TAKEN, entry.number, _taken_data(entry), trace)
         self._home[entry.number] = segment
         segment.open += 1
         self.next_number = max(self.next_number, entry.number + 1)
 
+    def origin(self, number: int, origin: Origin) -> None:
+        """The message was another relay's, or surely is this one's now."""
+        self._append(_Kind.ORIGIN, number, _origin_data(origin))
+
+    def copied(self, payload: bytes) -> int:
+        """Write a record of another relay's journal as it came; the number of its message. ValueError where it is none
+        of a message."""
+        if len(payload) < _HEAD.size or payload[0] not in _OF_MESSAGES:
+            raise ValueError("it is no record of a message")
+        kind, number = _HEAD.unpack_from(payload)
+        data = payload[_HEAD.size :]
+        if kind in (_Kind.TAKEN, _Kind.CALL):
+            _entry(number, data, call=kind == _Kind.CALL)
+            if number not in self._home:
+                segment = self._home[number] = self._append(_Kind(kind), number, data)
+                segment.open += 1
+        elif kind == _Kind.CLOSED:
+            self.closed(number)
+        elif number in self._home:
+            self._append(_Kind(kind), number, data)
+        return int(number)
+
+    @property
+    def open_numbers(self) -> list[int]:
+        return list(self._home)
+
     def attempt(self, number: int, attempt: int, sent_at: float, zone: int) -> None:
         self._append(_Kind.ATTEMPT, number, _ATTEMPT.pack(attempt, sent_at, zone))
 
+    def until(self, number: int, attempt: int, until: float) -> None:
+        """An attempt is given up by then at the latest."""
+        self._append(_Kind.UNTIL, number, _UNTIL.pack(attempt, until))
+
     def outcome(self, number: int, attempt: int, may_have_run: bool) -> None:
         self._append(_Kind.OUTCOME, number, _OUTCOME.pack(attempt, may_have_run))
 
@@ -212,6 +262,10 @@
         except (OSError, FolderProblem) as err:
             raise JournalFull(str(err)) from err
         segment.size += len(record)
+        if self.copier:
+            self.copier(number, _HEAD.pack(kind, number) + data, kind == _Kind.CLOSED)
+            if behind:
+                self.copier(number, behind[FRAME.size :], False)
         return segment
 
     def _written(self, segment: _Segment, record: bytes) -> None:
@@ -396,11 +450,59 @@
             if attempt < len(entry.attempts):
                 entry.attempts[attempt].may_have_run = bool(may_have_run)
                 entry.attempts[attempt].settled = True
+        elif kind == _Kind.UNTIL:
+            attempt, until = _UNTIL.unpack(rest)
+            if attempt < len(entry.attempts) and math.isfinite(until):
+                entry.attempts[attempt].until = until
         elif kind == _Kind.END:
             handed_back, retry_in = _END.unpack(rest)
             entry.end = End(bool(handed_back), retry_in if math.isfinite(retry_in) and retry_in > 0 else 0.0)
         elif kind == _Kind.TRACE:
             entry.trace = rest
+        elif kind == _Kind.ORIGIN:
+            relay, epoch, part, confirmed = json.loads(rest)
+            entry.origin = Origin(str(relay), int(epoch), int(part), bool(confirmed))
+
+
+def _taken_data(entry: Entry) -> bytes:
+    text = json.dumps([entry.id, entry.class_name, entry.dest, entry.key]).encode()
+    return _TAKEN.pack(entry.deadline, len(text)) + text + (b"" if entry.call else entry.body)
+
+
+def _origin_data(origin: Origin) -> bytes:
+    return json.dumps([origin.relay, origin.epoch, origin.part, origin.confirmed]).encode()
+
+
+def payloads(entry: Entry) -> list[bytes]:
+    """All that is to be known of an open message, as records of a journal."""
+    told = [(_Kind.TAKEN, _taken_data(entry))]
+    if entry.trace:
+        told.append((_Kind.TRACE, entry.trace))
+    if entry.origin:
+        told.append((_Kind.ORIGIN, _origin_data(entry.origin)))
+    for n, attempt in enumerate(entry.attempts):
+        told.append((_Kind.ATTEMPT, _ATTEMPT.pack(n, attempt.sent_at, attempt.zone)))
+        if attempt.until:
+            told.append((_Kind.UNTIL, _UNTIL.pack(n, attempt.until)))
+        if attempt.settled or not attempt.may_have_run:
+            told.append((_Kind.OUTCOME, _OUTCOME.pack(n, attempt.may_have_run)))
+    if entry.end:
+        told.append((_Kind.END, _END.pack(entry.end.handed_back, entry.end.retry_in)))
+    return [_HEAD.pack(kind, entry.number) + data for kind, data in told]
+
+
+Kinds = _Kind  # for those who read a journal without owning it
+
+
+def read_head(payload: bytes) -> tuple[int, int, bytes]:
+    """A record's kind, its message's number, and the rest."""
+    kind, number = _HEAD.unpack_from(payload)
+    return kind, number, payload[_HEAD.size :]
+
+
+def read_taken(number: int, rest: bytes) -> Entry:
+    """A message as its first record tells it; ValueError, TypeError or struct.error where it cannot be."""
+    return _entry(number, rest, call=False)
 
 
 def _entry(number: int, rest: bytes, call: bool) -> Entry:
--- a/calicohitch/net/relay.py
+++ b/calicohitch/net/relay.py
@@ -8,7 +8,7 @@
 import heapq
 import math
 from collections import deque
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
@@ -22,7 +22,7 @@
 from ..core.backoff import Backoff
 from ..core.leases import Holder, shared_out
 from ..core.memory import CallMemory
-from ..core.seam import Call, Delivery, Ended, How, Refusal, Reply, Result, Submission
+from ..core.seam import Call, Copies, Delivery, Ended, How, Refusal, Reply, Result, Submission
 from ..journal import Attempt, End, Entry, Journal, JournalFull
 from ..recovery import doubts
 from ..recovery.memory import Memory
@@ -41,6 +41,8 @@
 _OVERDUE_MS = 100.0
 _KEEP_S = 0.25  # between two looks at what the next life had better know
 _UNREAD_GROWS = 10  # times what was logged, before it is logged again
+_FLEET_S = 5.0  # a start waits so long for the coordination store before it serves what needs none
+_COPIED_S = 0.35  # a client waits 0.4 s for its answer
 _TOLD_DAMAGES = 20  # stretches of the journal that are logged one by one
 
 
@@ -88,9 +90,10 @@
         reserved: int = 0,
         memory: Memory | None = None,
         up_at: float | None = None,
+        copies: Copies | None = None,
     ) -> None:
         """`memory`: what is kept of the world between lives; without one a life begins knowing nothing. `up_at`: when
-        the process began, on the clock."""
+        the process began, on the clock. `copies`: other relays hold copies of this one's work, and take it over."""
         self._memory_of_world = memory
         self.came_back = Return(clock.now() if up_at is None else up_at)
         self._config, self._clock, self._journal = config, clock, journal
@@ -105,6 +108,9 @@
         self._by_id: dict[str, int] = {}
         self._events: deque[i.Event] = deque()
         self._feeding = False
+        self._covered: dict[int, Entry] = {}  # the folder's copied messages, until the store tells whose they are
+        self._adopting: dict[int, Entry] = {}  # others' messages that are journaled here, and not this relay's yet
+        self._begun = anyio.Event()
         self._timers: list[tuple[float, int]] = []
         self._timer_set = anyio.Event()
         self._tasks: TaskGroup | None = None
@@ -115,7 +121,7 @@
         backoff = Backoff(settings.couriers, config.seed)
         self._discovery = Discovery(config.discovery, self._directory, self._listed, backoff, self.leases)
         self._waits: dict[int, float] = {}  # destination, or endpoint where those are routes apart -> its end
-        self._notices = Notices(config.discovery, self._closed, self.leases, journal.may_act)
+        self._notices = Notices(config.discovery, self._closed, self.leases, self._may_end)
         self._endpoints = Endpoints(
             clock,
             tuple(report.name for report in settings.reports),
@@ -125,6 +131,10 @@
         )
         self._deliveries: dict[int, Delivery] = {0: self._endpoints}
         self._memory = CallMemory(settings.open_cap * 4)
+        self._copies, self.letting_go = copies, False
+        if copies:
+            copies.attach(self)
+            journal.copier = copies.record
         self._peers: Peers | None = None
         if settings.may_tell and config.peer_listen:
             self._peers = Peers(config.peer_listen, config.peers, config.peers_all, self._heard)
@@ -145,11 +155,17 @@
                 tasks.start_soon(_kept_up, self._tracer.run)
             self._read_known()
             tasks.start_soon(_kept_up, self._discovery.run)
+            if self._copies:
+                tasks.start_soon(self._copies.run)
             # The list in the configuration may be old, and an endpoint on it drain by now: nothing is sent
             # before discovery was heard. A silent one does not keep the relay from serving.
             with anyio.move_on_after(_LIST_S):
                 await self._discovery.heard.wait()
             self._recover()
+            if self._copies:
+                tasks.start_soon(self._begin_copies)
+                with anyio.move_on_after(_FLEET_S):
+                    await self._begun.wait()
             self.ready = True
 
     def follow(self, config: Config) -> None:
@@ -163,7 +179,7 @@
     @property
     def idle(self) -> bool:
         """Nothing is owed to anyone."""
-        return not self._open and not len(self._notices)
+        return not self._open and not len(self._notices) and not (self._copies and self._copies.ends_waiting)
 
     def take(self, told: Submission) -> int | Refusal:
         """Journal a message. `accept` must follow once its client was told, or `withdraw` if it was not."""
@@ -192,6 +208,8 @@
             return Refusal.FULL
         if told.reply and (known := self._memory.recall(told.id)):
             return self._take_again(known, told)
+        if self._copies and not told.reply and (why := self._copies.refuses(told.class_index, told.id)):
+            return why
         number = self._journal.next_number
         longest = to_ms(self._config.settings.classes[told.class_index].deadline)
         now = self._clock.now()
@@ -201,10 +219,14 @@
             call=told.reply is not None)
         if self._tracer:
             entry.trace = self._tracer.taking(entry, told.headers, now, told.handed_in_again)
+        if self._copies:
+            self._copies.opening(entry)
         try:
             self._journal.taken(entry)
         except JournalFull as err:
             logger.error("journal: {}", err)
+            if self._copies:
+                self._copies.abandoned(number)
             if self._tracer:
                 self._tracer.withdrawn(number)
             return Refusal.FULL
@@ -392,6 +414,9 @@
                        if self._tracer else ((), None))
         try:
             self._journal.attempt(entry.number, number, attempt.sent_at, attempt.zone)
+            if self._copies and self._copies.is_copied(entry.number):
+                attempt.until = min(now + (to_ms(action.timeout) or math.inf), entry.deadline)
+                self._journal.until(entry.number, number, attempt.until)
         except JournalFull as err:
             logger.error("journal: {}", err)
             self._settled(message, number, action.endpoint, Result(i.Outcome.MOOT))
@@ -403,7 +428,10 @@
     async def _call(self, message: _Open, attempt: int, action: i.Send, member: Member | None,
                     more: Sequence[tuple[bytes, bytes]], marks: AttemptFacts | None) -> None:
         entry, result = message.entry, Result(i.Outcome.MOOT)
-        left = max(1.0, entry.deadline - entry.attempts[attempt].sent_at)
+        if self._copies and not await self._copies.until_safe(entry.number, (to_ms(action.timeout) or 1e4) / 1e3):
+            self._settled(message, attempt, action.endpoint, result)  # nobody may know of it: it was not made
+            return
+        left = max(1.0, entry.deadline - self._clock.now())
         told = message.told
         call = Call(entry.id, entry.key, entry.body, min(to_ms(action.timeout) or left, left), more, marks,
             told.content if told else None)
@@ -419,6 +447,8 @@
             now = self._clock.now()
             self._waits = {route: until for route, until in self._waits.items() if until > now}
             self._waits[self._route(member.listed)] = now + result.wait
+            if self._copies:
+                self._copies.waited(self._route(member.listed), now + result.wait)
         self._settled(message, attempt, action.endpoint, result)
 
     def _route(self, entry: i.Listed) -> int:
@@ -431,6 +461,8 @@
         now, told = self._clock.now(), self._directory.get(action.endpoint)
         if not self._journal.may_act():  # this process stood still, and a later life has its work
             return False
+        if self._copies and not self._copies.may_act(action.message):  # and another relay may have it by now
+            return False
         ready = told is not None and told.listed.phase is i.Phase.READY and told.address == member.address
         remembered = not action.not_after or to_micros(now) < action.not_after
         return ready and remembered and self._waits.get(self._route(member.listed), 0.0) <= now
@@ -461,8 +493,12 @@
                 self._forget(number)
                 self._remember(message.entry)
         took = to_micros(now - message.entry.attempts[attempt].sent_at)
-        self.feed(i.Settled(number, attempt, endpoint, result.outcome, took, result.ended,
-            to_micros(math.ceil(result.wait)), result.slots_taken, result.report, result.stale))
+        settled = i.Settled(number, attempt, endpoint, result.outcome, took, result.ended,
+            to_micros(math.ceil(result.wait)), result.slots_taken, result.report, result.stale)
+        if self._lets_go(message):
+            self.feed(i.Withdrawn(number), settled)
+        else:
+            self.feed(settled)
 
     def _answer(self, message: _Open, result: Result) -> None:
         """The delivery's end is the call's: what the endpoint answered, or a half of it that cannot be taken back."""
@@ -493,7 +529,11 @@
             self._journal.end(number, end)
         except JournalFull as err:  # after a restart the decisions come to an end of their own
             logger.error("journal: {}", err)
-        self._notices.add(Notice(number, message.entry.id, end))
+        notice = Notice(number, message.entry.id, end)
+        if self._copies:  # a successor that does not know of the end would come to another
+            self._copies.when_safe(number, lambda: self._notices.add(notice))
+        else:
+            self._notices.add(notice)
 
     def _closed(self, number: int) -> None:
         try:
@@ -532,12 +572,26 @@
 
     def _recover(self) -> None:
         """Tell the decisions what an earlier life left open, and send the notices that it still owes."""
-        now, arrived = self._clock.now(), []
+        now, entries = self._clock.now(), list(self._journal.entries.values())
         if memory := self._memory_of_world:
-            memory.mend(list(self._journal.entries.values()))
+            memory.mend(entries)
             if recalled := memory.recalled(self._directory.number, now):
                 self.feed(recalled)
-        for entry in list(self._journal.entries.values()):
+        self._tell_damage()
+        if self._copies:  # whose those are the store has to say
+            self._covered = {entry.number: entry for entry in entries if self._copies.covers(entry)}
+            entries = [entry for entry in entries if entry.number not in self._covered]
+        self._journal.entries.clear()
+        arrived = self._taken_up(entries)
+        if entries:
+            logger.info("from the journal: {} messages, {} notices", len(arrived), len(self._notices))
+        self.came_back.folder(now, {told.message: told.dest for told in arrived}, len(self._journal.damage))
+        self.feed(*arrived)
+
+    def _taken_up(self, entries: Sequence[Entry]) -> list[i.Arrived]:
+        """Owe these messages their ends; what the decisions are to be told of them."""
+        now, arrived = self._clock.now(), []
+        for entry in entries:
             self._doubt(entry)
             if entry.call:
                 self._remember(entry)
@@ -551,13 +605,137 @@
                 self._by_id[entry.id] = entry.number
                 arrived.append(i.Arrived(entry.number, self._config.names.classes.index(entry.class_name),
                     entry.dest, max(0, to_micros(entry.deadline - now)), earlier=_earlier(entry)))
-        if self._journal.entries:
-            logger.info("from the journal: {} messages, {} notices", len(arrived), len(self._notices))
-        self._tell_damage()
-        self.came_back.folder(now, {told.message: told.dest for told in arrived}, len(self._journal.damage))
-        self._journal.entries.clear()
+        return arrived
+
+    # Copies of this relay's work, and work of others.
+
+    def _may_end(self) -> bool:
+        return self._journal.may_act() and (self._copies is None or self._copies.may_end())
+
+    async def _begin_copies(self) -> None:
+        """Once the store has told whose the folder's copied messages are, go on with those that are this relay's."""
+        assert self._copies
+        lost = await self._copies.begin(self._covered)
+        for number in lost:
+            self._covered.pop(number)
+            self._closed(number)
+        for entry in self._covered.values():
+            if entry.origin and not entry.origin.confirmed:
+                self._confirmed(entry)
+            self._copies.opening(entry)
+        arrived = self._taken_up(list(self._covered.values()))
+        if self._covered:
+            logger.info("from the journal, once the fleet was asked: {} messages", len(arrived))
+        self._covered.clear()
+        self._begun.set()
         self.feed(*arrived)
 
+    def _confirmed(self, entry: Entry) -> None:
+        assert entry.origin
+        entry.origin = replace(entry.origin, confirmed=True)
+        try:
+            self._journal.origin(entry.number, entry.origin)
+        except JournalFull as err:  # a later life asks the store again
+            logger.error("journal: {}", err)
+
+    def take_up(self, entries: Sequence[Entry]) -> list[int]:
+        """Journal messages of another relay under numbers of this one's; nothing is done with them yet."""
+        assert self._copies
+        numbers = []
+        for told in entries:
+            if told.id in self._by_id or told.class_name not in self._config.names.classes:
+                logger.warning("message {} of another relay is left out: it is here already, or of no class", told.id)
+                continue
+            entry = replace(told, number=self._journal.next_number)
+            self._copies.opening(entry)
+            try:
+                self._journal.taken(entry)
+                if entry.origin:
+                    self._journal.origin(entry.number, entry.origin)
+                for n, attempt in enumerate(entry.attempts):
+                    self._journal.attempt(entry.number, n, attempt.sent_at, attempt.zone)
+                    if attempt.settled or not attempt.may_have_run:
+                        self._journal.outcome(entry.number, n, attempt.may_have_run)
+                if entry.end:
+                    self._journal.end(entry.number, entry.end)
+            except JournalFull as err:  # it is owed its end all the same, and this process knows it
+                logger.error("journal: {}", err)
+            self._adopting[entry.number] = entry
+            self._by_id[entry.id] = entry.number
+            numbers.append(entry.number)
+        return numbers
+
+    def confirm(self, numbers: Sequence[int], waits: Mapping[int, float]) -> None:
+        """They are this relay's now: they enter as restored ones do, behind the waits that their owner was told."""
+        entries = [self._adopting.pop(number) for number in numbers]
+        for entry in entries:
+            self._confirmed(entry)
+        routes = []
+        for route, until in waits.items():
+            self._waits[route] = max(self._waits.get(route, 0.0), until)
+            dest, endpoint = (route, None) if route >= 0 else (self._dest_of(~route), ~route)
+            routes.append(i.RouteWas(dest, endpoint, wait_until=to_micros(until), wait_only=True))
+        if routes:
+            self.feed(i.Recalled(tuple(routes)))
+        now = self._clock.now()
+        for entry in entries:
+            # Guards against two attempts at once: its owner may stand still with the last one on the wire.
+            out_until = max((was.until for was in entry.attempts if not was.settled), default=0.0)
+            self._enter(entry, min(out_until, entry.deadline) - now if not entry.end else 0.0)
+
+    def _enter(self, entry: Entry, after_ms: float) -> None:
+        """A message that was taken over is told to the decisions, at once or later."""
+        if after_ms <= 0:
+            self.feed(*self._taken_up([entry]))
+            return
+
+        async def later() -> None:
+            await anyio.sleep(after_ms / 1e3)
+            self.feed(*self._taken_up([entry]))
+
+        assert self._tasks
+        self._tasks.start_soon(later)
+
+    def _dest_of(self, endpoint: int) -> int:
+        member = self._directory.get(endpoint)
+        return member.listed.dest if member else -1
+
+    def drop(self, numbers: Sequence[int]) -> None:
+        """Another relay has them after all."""
+        for number in numbers:
+            if entry := self._adopting.pop(number, None):
+                self._by_id.pop(entry.id, None)
+                self._closed(number)
+
+    def let_go(self) -> int:
+        """Begin nothing more for copied messages; how many have an attempt out still."""
+        self.letting_go = True
+        out = 0
+        for number, message in list(self._open.items()):
+            if not (self._copies and self._copies.is_copied(number)):
+                continue
+            if message.calls:
+                out += 1
+            else:
+                self._forget(number)
+                self.feed(i.Withdrawn(number))
+        return out
+
+    def _lets_go(self, message: _Open) -> bool:
+        """Its attempt is over and it is not: another relay goes on with it."""
+        number = message.entry.number
+        if self.letting_go and self._copies and self._copies.is_copied(number) and not message.calls:
+            self._forget(number)
+            return True
+        return False
+
+    async def copied(self, number: int) -> bool:
+        """Before a client is told that its message is taken on: whether it is copied as its class asks."""
+        return self._copies is None or await self._copies.until_safe(number, _COPIED_S)
+
+    def awaits_copies(self, number: int) -> bool:
+        return self._copies is not None and not self._copies.is_safe(number)
+
     def _doubt(self, entry: Entry) -> None:
         """What is missing of an earlier life's records may have run; what cannot be delivered is ended."""
         if entry.class_name not in self._config.names.classes:
--- a/calicohitch/recovery/problems.py
+++ b/calicohitch/recovery/problems.py
@@ -30,6 +30,18 @@
     exit_code = 78
 
 
+class NameTaken(FolderProblem):
+    """Another process is alive under this relay's name, and it does not have this folder."""
+
+    exit_code = 77
+
+
+class WorkTaken(FolderProblem):
+    """This relay's work was taken over; a new start takes up what nobody has claimed."""
+
+    exit_code = 79
+
+
 _HINTS = {
     errno.EROFS: "it is on a read-only file system: mount it writable, or name another in NODE_STATE",
     errno.EACCES: "this user may not write there: give it the folder, or name another in NODE_STATE",
--- a/calicohitch/service.py
+++ b/calicohitch/service.py
@@ -14,21 +14,23 @@
 from .clock import Clock, to_ms
 from .config import Config
 from .config.operator import Operator
-from .journal import Journal
+from .journal import DISK_SHARE, Journal
 from .intake.admission.settings import AdmissionSettings
 from .intake.clients import Clients
 from .net.http import listen
 from .net.relay import Relay
 from .recovery.claim import RENEW_S, Claim, claimed
 from .recovery.memory import Memory
-from .recovery.problems import FolderLost, unusable
+from .recovery.problems import FolderLost, FolderProblem, unusable
 
 if TYPE_CHECKING:
     from .grpc.intake import GrpcIntake
     from .grpc.settings import GrpcSettings
+    from .takeover.manager import Takeover
     from .tracing.tracer import Tracer
 
 _MB = 1_000_000  # the platform counts disk in these
+_HAND_OVER_S = 2.0  # for the attempts that are out, and again for what is to be copied
 _SETTLE_S = 0.5  # clients keep coming for a moment after SIGTERM, and are told to go elsewhere
 
 
@@ -63,12 +65,13 @@
         raise unusable(config.state, err) from err
     tracer = _tracer(config, clock, operator)
     grpc = operator.grpc
+    takeover = _takeover(config, clock, operator, claim, journal)
     memory = Memory(config.state, claim.life, config.names.classes, operator.recovery.waits_outlast)
     if grpc:  # its connections, on both sides, take part in the one limit of descriptors
         relay = Relay(config, clock, journal, tracer, grpc.speaks, 2 * (config.limits.sockets // 8), memory=memory,
-            up_at=up_at)
+            up_at=up_at, copies=takeover)
     else:
-        relay = Relay(config, clock, journal, tracer, memory=memory, up_at=up_at)
+        relay = Relay(config, clock, journal, tracer, memory=memory, up_at=up_at, copies=takeover)
     admission = operator.clients or AdmissionSettings()
     with listen(config.listen, admission.backlog) as listener, ExitStack() as stack:
         logger.bind(event="relay.listening").info("{} listens at {}", config.name, config.listen)
@@ -77,6 +80,8 @@
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(_hold, claim, tasks.cancel_scope)
+                if takeover:
+                    takeover.on_ended = tasks.cancel_scope.cancel
                 tasks.start_soon(relay.run)
                 tasks.start_soon(clients.run)
                 if calls:
@@ -88,6 +93,8 @@
                     await calls.drain()
                 await anyio.sleep(_SETTLE_S)
                 clients.close_waiting()
+                if takeover and operator.fleet and operator.fleet.hand_over:
+                    await _handed_over(relay, takeover)
                 while clients.answering or not relay.idle or calls and calls.open_calls:
                     await anyio.sleep(0.05)
                 if tracer:
@@ -98,6 +105,20 @@
             relay.close()
             if tracer:
                 tracer.close()
+            if takeover:
+                with anyio.CancelScope(shield=True):
+                    await takeover.close()
+    if takeover and takeover.ended:
+        raise takeover.ended
+
+
+async def _handed_over(relay: Relay, takeover: Takeover) -> None:
+    """Give copied work to those who hold copies, before the lease goes: what is out ends first, for a while."""
+    takeover.stop_taking()
+    with anyio.move_on_after(_HAND_OVER_S):
+        while relay.let_go():
+            await anyio.sleep(0.02)
+    await takeover.hand_over(_HAND_OVER_S)
 
 
 async def _hold(claim: Claim, everything: anyio.CancelScope) -> None:
@@ -127,6 +148,22 @@
     return GrpcIntake(relay, settings, config.settings.classes, listener, clock)
 
 
+def _takeover(config: Config, clock: Clock, operator: Operator, claim: Claim, journal: Journal) -> Takeover | None:
+    """Copies and the fleet, where the operators' file has it."""
+    if operator.fleet is None:
+        return None
+    from .fleet.etcd_store import EtcdStore
+    from .takeover.manager import Takeover
+
+    settings = operator.fleet
+    if settings.hold_bytes > config.limits.disk_mb * _MB * (1 - DISK_SHARE):
+        raise FolderProblem(f"copies hold-mb={settings.hold_bytes / _MB:g} does not fit beside the journal on a disk "
+                            f"of {config.limits.disk_mb:g} MB: lower it, or raise limits.disk_mb")
+    store = EtcdStore(settings.store, settings.store_timeout_ms)
+    return Takeover(settings, config.name, claim.life, config.names.classes, config.state, store, clock.now,
+        journal.may_act)
+
+
 def _tracer(config: Config, clock: Clock, operator: Operator) -> Tracer | None:
     if operator.tracing is None:
         return None
--- a/calicohitch/state.py
+++ b/calicohitch/state.py
@@ -121,8 +121,9 @@
 
     def recall(self, was: RouteWas) -> None:
         """What an earlier life knew; the first answer replaces it."""
-        self.share.recall(*was.share)
-        self.sick, self.cold_at = was.sick, was.cold_at
+        if not was.wait_only:
+            self.share.recall(*was.share)
+            self.sick, self.cold_at = was.sick, was.cold_at
         self.rest(was.wait_until, Hold.TOLD_WAIT)
 
     def due(self) -> int:
--- a/tests/test_operator_file.py
+++ b/tests/test_operator_file.py
@@ -57,7 +57,7 @@
         cases = [
             ("tracing", "tracing: no way out is named"),
             ("tracin {\n}",
-             "tracin: there is no such node here (known: clients, grpc, logs, recovery, tracing); did you mean "
+             "tracin: there is no such node here (known: clients, fleet, grpc, logs, recovery, tracing); did you mean "
              "tracing?"),
             ("tracing {\nlog lines-per-s=0\n}",
              "tracing > log: lines-per-s must be a number from 0.01 to 10000, not 0"),
