--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PYTHON ?= python3
 
-.PHONY: build demo test lint run example fleet
+.PHONY: build demo demo-fleet test lint run example fleet fleet-takeovers
 
 build: .venv/installed-dev.txt
 
@@ -17,6 +17,10 @@
 demo: build
 	.venv/bin/python example/demo.py
 
+# Three relays: one is killed with work in hand, and the others go on with it.
+demo-fleet: build
+	.venv/bin/python example/demo_fleet.py
+
 test: build
 	.venv/bin/python -m pytest
 
@@ -32,3 +36,7 @@
 WORKERS ?= 4
 fleet: build
 	.venv/bin/python tests/fleet/play.py --in-turn --workers $(WORKERS) --seeds $(SEEDS)
+
+# The same for work that is taken over from relays that are lost.
+fleet-takeovers: build
+	.venv/bin/python tests/fleet/play.py --takeovers --in-turn --workers $(WORKERS) --seeds $(SEEDS)
--- a/tests/fleet/auditor.py
+++ b/tests/fleet/auditor.py
@@ -90,8 +90,8 @@
 class Auditor:
     """`classes` by name; `drain_s`: after the list told a relay that an endpoint drains, no call of it begins there."""
 
-    def __init__(self, classes: dict[str, Class], drain_s: float = 0.25) -> None:
-        self._classes, self._drain_s = classes, drain_s
+    def __init__(self, classes: dict[str, Class], drain_s: float = 0.25, taken_over_s: float | None = None) -> None:
+        self._classes, self._drain_s, self._taken_over_s = classes, drain_s, taken_over_s
         self._stalls: list[tuple[float, float]] = []
 
     def _stalled(self, since: float, until: float) -> float:
@@ -140,7 +140,9 @@
             due = deadline + END_S + SLACK_S
             due += self._stalled(told.at, due)
             away = [event for event in gone[told.relay] if event.at < due]
-            if any(event.what in ("lost", "left") for event in away if event.at >= told.at):
+            if self._taken_over_s is not None:
+                due = max([due, *(event.at + self._taken_over_s + SLACK_S for event in away)])
+            elif any(event.what in ("lost", "left") for event in away if event.at >= told.at):
                 continue  # its folder is gone, or its relay was not started again before the end
             if away:
                 heirs = [told.relay, *(event.to for event in away if event.what == "handed on")]
--- a/tests/fleet/play.py
+++ b/tests/fleet/play.py
@@ -17,13 +17,16 @@
 
 from fleet.mutants import MUTANTS  # noqa: E402
 from fleet.scenarios import SCENARIOS  # noqa: E402
+from fleet.takeover_scenarios import TAKEOVERS  # noqa: E402
+
+ALL = SCENARIOS | TAKEOVERS
 
 
 def play(name: str, seed: int, mutant: str, story: Path | None) -> tuple[str, str, bool]:
     """One run: its scenario, what is to be said of it, and whether anything was found."""
     code = f"from fleet.mutants import plant; plant({mutant!r})" if mutant else ""
     try:
-        report = asyncio.run(SCENARIOS[name](seed, code))
+        report = asyncio.run(ALL[name](seed, code))
     except Exception as err:  # the rig's own expectations; the other runs go on
         return name, f"{name} seed {seed}: {type(err).__name__}: {err}", True
     if story:
@@ -34,15 +37,16 @@
 
 def main() -> int:
     wanted = argparse.ArgumentParser(description=__doc__)
-    wanted.add_argument("scenario", nargs="*", choices=[[], *SCENARIOS], default=[])
+    wanted.add_argument("scenario", nargs="*", choices=[[], *ALL], default=[])
     wanted.add_argument("--seeds", default="1-1", help="first and last, as in 1-200")
     wanted.add_argument("--workers", type=int, default=1, help="runs side by side; each has up to 24 processes")
     wanted.add_argument("--in-turn", action="store_true", help="one scenario for each seed, all of them in turn")
+    wanted.add_argument("--takeovers", action="store_true", help="all scenarios of work taken over, not the others")
     wanted.add_argument("--mutant", choices=list(MUTANTS), default="")
     wanted.add_argument("--story", type=Path, help="where the last run's events go, a JSON line each")
     told = wanted.parse_args()
     first, _, last = told.seeds.partition("-")
-    names = told.scenario or list(SCENARIOS)
+    names = told.scenario or list(TAKEOVERS if told.takeovers else SCENARIOS)
     seeds = range(int(first), int(last or first) + 1)
     runs = ([(names[n % len(names)], seed) for n, seed in enumerate(seeds)] if told.in_turn else
             [(name, seed) for seed in seeds for name in names])
--- a/tests/fleet/rig.py
+++ b/tests/fleet/rig.py
@@ -14,7 +14,6 @@
 from __future__ import annotations
 
 import asyncio
-import ctypes
 import itertools
 import json
 import os
@@ -84,10 +83,15 @@
         return int(found.getsockname()[1])
 
 
-def _with_parent() -> None:
-    """Run in the child: its life ends with the rig's."""
-    with suppress(OSError, AttributeError):
-        ctypes.CDLL(None).prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
+# Run first in a child: its life ends with the rig's. Not before its program, by `preexec_fn`: that forks with this
+# process's threads, and libraries that have some (grpc) do not all bear it.
+_WITH_PARENT = f"""
+import contextlib, ctypes, os
+with contextlib.suppress(OSError, AttributeError):
+    ctypes.CDLL(None).prctl({_PR_SET_PDEATHSIG}, {signal.SIGKILL.value})
+if os.getppid() != {{parent}}:
+    os._exit(1)
+"""
 
 
 @dataclass(eq=False)
@@ -102,6 +106,7 @@
     links: dict[str, TcpLink] = field(default_factory=dict)  # by endpoint
     process: subprocess.Popen[bytes] | None = None
     ready_at: float = -1.0
+    arguments: list[str] = field(default_factory=lambda: ["serve"])
 
     @property
     def up(self) -> bool:
@@ -209,11 +214,12 @@
         relay = self.relays[name]
         env = {key: value for key, value in os.environ.items() if not key.startswith("NODE_")}
         env |= {"NODE_CONFIG": str(relay.folder / "config.json"), "PYTHONPATH": f"{self._root}:{ROOT / 'tests'}"}
-        code = (f"{self._code}\n{code}\nimport sys; sys.argv[1:] = ['serve']\n"
+        first = _WITH_PARENT.format(parent=os.getpid())
+        code = (f"{first}\n{self._code}\n{code}\nimport sys; sys.argv[1:] = {relay.arguments!r}\n"
                 "from calicohitch.commands import main\nsys.exit(main())")
         with (relay.folder / "log").open("ab") as log:
             relay.process = subprocess.Popen([sys.executable, "-B", "-c", code], env=env, cwd=self._root, stderr=log,
-                stdout=log, preexec_fn=_with_parent)
+                stdout=log)
         relay.ready_at = -1.0
         self.story.tell("life", relay=name)
         return relay
@@ -368,9 +374,10 @@
             if "return: full after" not in last:
                 raise AssertionError(f"{name} does not tell of its return:\n{last}")
 
-    def audit(self) -> Report:
+    def audit(self, taken_over_s: float | None = None) -> Report:
+        """`taken_over_s`: others take over the work of a relay that is away, within so long."""
         self.story.tell("end")
-        report = Auditor(CLASSES).judge(self.story)
+        report = Auditor(CLASSES, taken_over_s=taken_over_s).judge(self.story)
         for relay in self.relays.values():
             if "Traceback" in (log := relay.log()):
                 self.story.tell("fault", what="traceback", relay=relay.name)
