--- a/tests/takeover/test_membership.py
+++ b/tests/takeover/test_membership.py
@@ -75,7 +75,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(one.run)
             self.store.late_s = 0.08  # below the time that is waited for an answer
-            for n in range(12):
+            for _ in range(12):
                 tasks.start_soon(one.read)
                 await other.commit(other.tenure.publish(other.roster, [(), ()]))
                 self.store.late_s, late = 0.0, self.store.late_s
