A watch begins anew on a store that went back; a 202 needs its holders at that moment

Checked: the lost relay had registered again ("epoch 1 goes on") and its work stood in the store under the current generation. Cause: `Membership._follow` went on with a watch that waited for a revision above all that it had seen before the store went back (11), so nothing of what changed at 4 to 9 was told. Now the watch is left when that is found. The test fails without it. Ruled out on the way, and mended: holders that are left out between a message's first record and its 202 left a message of a class that asks for copies without any; the 202 asks once more.

--- a/calicohitch/fleet/membership.py
+++ b/calicohitch/fleet/membership.py
@@ -45,6 +45,7 @@
         self.went_back = 0  # times that the store was found empty or gone back
         self.failures = 0  # questions in a row without an answer
         self._leaving = False
+        self._watching = anyio.CancelScope()
 
     # The folder.
 
@@ -112,6 +113,7 @@
         """The store lost what it told. Nothing of before is claimed any more: a new generation begins, unless another
         relay has begun one."""
         self.went_back += 1
+        self._watching.cancel()  # it waits for a revision that comes long after what changes now
         before = self.roster.generation
         logger.bind(event="fleet.went_back", before=self.roster.revision, now=seen.revision).error(
             "the coordination store went back from revision {} to {}: what relays that die now had in hand waits for "
@@ -242,14 +244,15 @@
         while not self.proof.passed and not self._leaving:
             watch = self.store.watch(self.roster.keys.prefix, self.roster.revision)
             try:
-                while True:
-                    with anyio.fail_after(_SILENT_S):
-                        changes: list[Changed] = await anext(watch)
-                    if changes:
+                with anyio.CancelScope() as self._watching:
+                    while True:
+                        with anyio.fail_after(_SILENT_S):
+                            changes: list[Changed] = await anext(watch)
                         if any(change.key == self.roster.keys.generation for change in changes):
                             break  # another relay found that the store went back
-                        self.roster.apply(changes, self._now())
-                        self._changed()
+                        if changes:
+                            self.roster.apply(changes, self._now())
+                            self._changed()
             except Compacted:
                 logger.bind(event="fleet.compacted").info("the store's watch was compacted: all is read anew")
             except (StoreError, TimeoutError, OSError, StopAsyncIteration):
--- a/calicohitch/net/relay.py
+++ b/calicohitch/net/relay.py
@@ -731,10 +731,10 @@
 
     async def copied(self, number: int) -> bool:
         """Before a client is told that its message is taken on: whether it is copied as its class asks."""
-        return self._copies is None or await self._copies.until_safe(number, _COPIED_S)
+        return self._copies is None or await self._copies.until_taken_on(number, _COPIED_S)
 
     def awaits_copies(self, number: int) -> bool:
-        return self._copies is not None and not self._copies.is_safe(number)
+        return self._copies is not None and not self._copies.may_be_taken_on(number)
 
     def _doubt(self, entry: Entry) -> None:
         """What is missing of an earlier life's records may have run; what cannot be delivered is ended."""
--- a/calicohitch/takeover/copying.py
+++ b/calicohitch/takeover/copying.py
@@ -22,6 +22,7 @@
     part: int
     waits: bool  # its records are waited for
     payloads: Callable[[], Sequence[bytes]]  # all that is to be known of it, as records
+    needs: bool = False  # it is not taken on while too few hold copies
     last: int = 0  # seq of its last record
 
 
@@ -69,9 +70,10 @@
 
     # Messages.
 
-    def open(self, number: int, part: int, waits: bool, payloads: Callable[[], Sequence[bytes]]) -> None:
+    def open(self, number: int, part: int, waits: bool, payloads: Callable[[], Sequence[bytes]],
+             needs: bool = False) -> None:
         """From now on its records are copied."""
-        self._messages[number] = Kept(part, waits, payloads)
+        self._messages[number] = Kept(part, waits, payloads, needs)
 
     def record(self, number: int, payload: bytes, now: float, over: bool = False) -> None:
         """One more record of a message; `over`: it is the last."""
@@ -114,6 +116,12 @@
         message = self._messages.get(number)
         return message is None or not message.waits or self.has(message.part, message.last)
 
+    def may_be_taken_on(self, number: int) -> bool:
+        """Its client may be told so: it is safe, and with as many as its class asks for. Guards a message against
+        holders that left between its first record and its 202."""
+        message = self._messages.get(number)
+        return self.is_safe(number) and (message is None or not message.needs or self.enough(message.part))
+
     def has(self, part: int, seq: int) -> bool:
         """All who may claim the part have acknowledged so much."""
         for holder in self.required(part):
--- a/calicohitch/takeover/manager.py
+++ b/calicohitch/takeover/manager.py
@@ -112,7 +112,8 @@
         mode = self.mode(entry.class_name)
         if mode.when != "none" and not entry.call:
             part = part_of(entry.id, self._set.parts)
-            self.copying.open(entry.number, part, mode.when == "first", lambda: payloads(entry))
+            first = mode.when == "first"
+            self.copying.open(entry.number, part, first, lambda: payloads(entry), first and mode.without == "refuse")
 
     def abandoned(self, number: int) -> None:
         """It could not be journaled."""
@@ -131,6 +132,16 @@
     def is_safe(self, number: int) -> bool:
         return self.copying.is_safe(number)
 
+    def may_be_taken_on(self, number: int) -> bool:
+        return self.copying.may_be_taken_on(number)
+
+    async def until_taken_on(self, number: int, within_s: float) -> bool:
+        with anyio.move_on_after(within_s):
+            while not self.copying.may_be_taken_on(number):
+                await self.news.wait()
+            return True
+        return False
+
     async def until_safe(self, number: int, within_s: float) -> bool:
         """Wait until all that was recorded of a message is copied as its class asks."""
         if self.copying.is_safe(number):
--- a/tests/takeover/test_decisions.py
+++ b/tests/takeover/test_decisions.py
@@ -131,6 +131,14 @@
         self.assertTrue(self.copying.is_safe(7))
         self.assertTrue(self.copying.is_safe(8))
 
+    def test_a_message_is_taken_on_only_with_its_holders(self) -> None:
+        self.copying.publish(((H1,), ()), 0.0)
+        self.copying.open(7, 0, True, list, needs=True)
+        self.assertTrue(self.copying.may_be_taken_on(7))
+        self.copying.publish(((), ()), 0.0)  # its holder was left out before its client was told
+        self.assertTrue(self.copying.is_safe(7))
+        self.assertFalse(self.copying.may_be_taken_on(7))
+
     def test_a_full_buffer_ends_one_link_and_no_other(self) -> None:
         self.copying.open(7, 0, True, list)
         stuck = Link("r1", "x1", lambda frame: False, 0.0, parts={0: 0})
--- a/tests/takeover/test_membership.py
+++ b/tests/takeover/test_membership.py
@@ -135,6 +135,26 @@
             self.assertIn("a later one has begun", one.proof.passed)
             tasks.cancel_scope.cancel()
 
+    @in_loop
+    async def test_a_watch_begins_anew_on_a_store_that_went_back(self) -> None:
+        """It waited for a revision above all that it had seen, and a lost relay's work was never claimed."""
+        one, other = self.member("r0"), self.member("r1")
+        await one.begin()
+        await other.begin()
+        for _ in range(30):
+            await other.commit(other.tenure.publish(other.roster, [(), ()]))
+            await other.read()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(one.run)
+            await anyio.sleep(0.3)
+            self.store.put_back()
+            await anyio.sleep(0.5)  # it registered again
+            await other.read()
+            await other.commit(other.tenure.reassert(other.roster, 0))
+            await anyio.sleep(0.2)  # below the time of the next renewal's reading of all
+            self.assertIn("r1", one.roster.members)
+            tasks.cancel_scope.cancel()
+
     @in_loop
     async def test_a_store_that_lost_everything_is_told_all_anew(self) -> None:
         one, other = self.member("r0"), self.member("r1")
