--- a/tests/takeover/test_decisions.py
+++ b/tests/takeover/test_decisions.py
@@ -132,6 +132,7 @@
         self.assertTrue(self.copying.is_safe(8))
 
     def test_a_message_is_taken_on_only_with_its_holders(self) -> None:
+        self.link(H1).parts[0] = 0
         self.copying.publish(((H1,), ()), 0.0)
         self.copying.open(7, 0, True, list, needs=True)
         self.assertTrue(self.copying.may_be_taken_on(7))
