A full holding room turns a newcomer away at the door, unless it outranks the least held

Ruled out: late drops (they end at the deadline), messages without a try left, and `Refusal.FULL`, which never came about, as room is made at 0.9 of open_cap. Change: `Sender.turns_away`, asked by `Relay.take` before anything is journaled: with the room full, a new message has to have 1.5 times the least rank held to drive that one out.

--- a/calicohitch/net/relay.py
+++ b/calicohitch/net/relay.py
@@ -188,7 +188,8 @@
             return Refusal.NO_KEY  # it could not be repeated as its class may
         if not self._directory.knows(told.dest):
             return Refusal.UNKNOWN
-        if len(self._open) >= self._config.settings.open_cap or not self._journal.has_room(len(told.body)):
+        full = len(self._open) >= self._config.settings.open_cap or not self._journal.has_room(len(told.body))
+        if full or self._sender.turns_away(told.class_index, told.dest):
             return Refusal.FULL
         if told.reply and (known := self._memory.recall(told.id)):
             return self._take_again(known, told)
