--- a/calicohitch/net/relay.py
+++ b/calicohitch/net/relay.py
@@ -188,8 +188,7 @@
             return Refusal.NO_KEY  # it could not be repeated as its class may
         if not self._directory.knows(told.dest):
             return Refusal.UNKNOWN
-        full = len(self._open) >= self._config.settings.open_cap or not self._journal.has_room(len(told.body))
-        if full or self._sender.turns_away(told.class_index, told.dest):
+        if len(self._open) >= self._config.settings.open_cap or not self._journal.has_room(len(told.body)):
             return Refusal.FULL
         if told.reply and (known := self._memory.recall(told.id)):
             return self._take_again(known, told)
--- a/calicohitch/rules.py
+++ b/calicohitch/rules.py
@@ -8,6 +8,7 @@
 
 import math
 import random
+from bisect import bisect_left, bisect_right
 from collections import defaultdict, deque
 from collections.abc import Callable, Iterator, Sequence
 from heapq import heapify, heappop, heappush, merge
@@ -19,9 +20,7 @@
 from .interface import (Action, Arrived, Cancel, CloseIdle, Effect, Event, Fail, Held, Hold, ListKind,
     ListTold, MessageClass, Outcome, PeerSaid, Phase, Recalled, Refuse, Send, Settings, Settled, SetTimer,
     Tell, Watch, Withdrawn)
-from .state import (SHARED, TRIAL, Call, Destination, Endpoint, Message, Route, before, conformance, known,
-    recall, smoothed)
-from .watching import why_held
+from .state import SHARED, Call, Destination, Endpoint, Message, Route, conformance, known, recall, smoothed
 
 SECOND = 1_000_000  # microseconds
 TIERS = (1.0, 0.9, 0.8, 0.0)  # shares of conformance: the paper's service levels
@@ -39,11 +38,10 @@
 SHUT = 5 * SECOND // 2  # refusals, or a told wait, for longer than the span of a limit: the route is shut
 REST_GROWS = 4  # times: each further bad call in a row lengthens the rest; few attempts fill a message's time
 CHOKED_MAX = 8  # doublings that make two minutes of half a second: longer than any message lives
-TRIAL_MAX = 2 * SECOND  # the longest pause between trials of a sick route; the first is TRIAL
+TRIAL, TRIAL_MAX = SECOND // 2, 2 * SECOND  # first, longest pause between trials of a sick route
 CUT = 0.85  # share of the accepted rate at which a refused route is paced
 TIP_ROOM = 0.8  # share of what would push a warming route over that is used where its limit is told
 ROOM = 0.9  # share of the holding room above which the least worth is given up
-WORTHIER = 1.5  # times the least rank held: so much a new message has to have to drive that one out
 ASK_AGAIN, ASK_MAX = SECOND, 8 * SECOND  # first, longest pause after a failed call to the list
 
 
@@ -59,12 +57,25 @@
     return max(cost, gain)
 
 
+def refusable(message: Message) -> bool:  # coming again must be harmless
+    return message.cls.harmless_again or not message.may_have_run
+
+
+def repeatable(message: Message, now: int) -> bool:  # by what the earlier attempts prove
+    keyed_yet = message.cls.effect is Effect.KEYED and now < message.key_until()
+    return message.cls.effect is Effect.SAFE or not message.may_have_run or keyed_yet
+
+
+def before(line: Sequence[Message], aim: float, or_at: bool = False) -> int:
+    """How many of a line, which lies in the order of its aims, have theirs before `aim`."""
+    return (bisect_right if or_at else bisect_left)(line, aim, key=lambda message: message.aim_at)
+
+
 class Sender:
     """The decisions of one courier. Feed it every event; carry out its actions in order."""
 
     def __init__(self, settings: Settings, seed: int) -> None:
         self._set, self._now = settings, 0
-        self._room = min(settings.open_cap - 2, ROOM * settings.open_cap)
         self._random = random.Random(seed)
         self._recent: list[deque[bool]] = [deque(maxlen=WINDOW) for _ in settings.classes]
         self._open: dict[int, Message] = {}
@@ -161,7 +172,7 @@
             self._ended(message, event.outcome is Outcome.OK and self._now <= message.aim_at)
         elif not message.over and not message.calls:  # back after an attempt: hold it, or give it up
             self._hold(message)
-            if message.attempts >= self._set.max_attempts or not message.repeatable(self._now):
+            if message.attempts >= self._set.max_attempts or not repeatable(message, self._now):
                 self._give_up(message)
         self._forget(message)
 
@@ -353,7 +364,7 @@
     def _give_up(self, message: Message, advice: int = 0) -> None:
         """The final answer to an undelivered message, at once; where it may come again, say when."""
         advice = advice or self._advice(self._dests[message.dest])
-        self._actions.append(Refuse(message.id, advice) if message.refusable() else Fail(message.id))
+        self._actions.append(Refuse(message.id, advice) if refusable(message) else Fail(message.id))
         self._ended(message, False)
         self._forget(message)
 
@@ -371,32 +382,17 @@
             for line in list(dest.lines.values()):
                 cls = line[0].cls
                 late = before(line, self._now + self._latency(dest, cls) - (cls.deadline - cls.aim))
-                lost = [m for m in line[late:] if not m.repeatable(self._now)] if line[0].attempts else []
+                lost = [m for m in line[late:] if not repeatable(m, self._now)] if line[0].attempts else []
                 for message in line[:late] + lost:
                     self._give_up(message)
 
-    def turns_away(self, class_index: int, number: int) -> bool:
-        """Guards against taking on, with the holding room full, what would be handed back at once, or would
-        drive back another that has waited: either costs, and who is not taken on can go elsewhere."""
-        if len(self._open) < self._room or not (least := self._least_held()):
-            return False
-        dest, worth = self._dests.get(number), self._set.classes[class_index].worth
-        rank = worth / (len(dest.held) + 1) / (1 + dest.crowd + dest.fails) if dest else worth
-        return rank < WORTHIER * least.room
-
-    def _least_held(self) -> Message | None:
-        while self._least:
-            message = self._open.get(self._least[0][2])
-            if message and message.id in self._dests[message.dest].held:
-                return message
-            heappop(self._least)
-        return None
-
     def _make_room(self) -> None:
         """Guards against a full holding room: past open_cap even the worthiest are turned away unseen."""
-        while len(self._open) > self._room and (message := self._least_held()):
-            self._touched[message.dest] = None
-            self._give_up(message, self._set.max_retry_after if self._set.retry_after else 0)
+        while self._least and len(self._open) > min(self._set.open_cap - 2, ROOM * self._set.open_cap):
+            message = self._open.get(heappop(self._least)[2])
+            if message and message.id in self._dests[message.dest].held:
+                self._touched[message.dest] = None
+                self._give_up(message, self._set.max_retry_after if self._set.retry_after else 0)
         if len(self._least) > 2 * self._set.open_cap:  # mostly of what is over or ranked anew
             self._least = [at for at in self._least if (m := self._open.get(at[2])) and at[0] == m.room]
             heapify(self._least)
@@ -483,7 +479,25 @@
 
     def why_held(self, number: int) -> Held | None:
         """Why a message is held, for those who watch; None where it is not held. Asking changes nothing."""
-        return why_held(self, number)
+        message, now = self._open.get(number), self._now
+        dest = self._dests.get(message.dest) if message else None
+        if message is None or dest is None or number not in dest.held:
+            return None
+        if dest.rest_until > now:
+            return Held(dest.rest_why, dest.rest_until)
+        shut = [(self._opens(e.route, why), why) for e in dest.ends.values() if (why := self._shut(e.route))]
+        if len(shut) == len(dest.ends):
+            until, why = min(shut, key=lambda at: at[0] or math.inf, default=(0, Hold.NO_ENDPOINT))
+            return Held(why, until)
+        if not self._in_turn(message):
+            return Held(Hold.ORDER, self._key_rest.get(message.told.key, 0))
+        suited = any(self._suits(message, e) and not self._shut(e.route) for e in dest.ends.values())
+        return Held(Hold.SLOT if suited else Hold.RISK)
+
+    def _opens(self, route: Route, why: Hold) -> int:
+        last = route.calls[-1].sent_at if route.calls else 0
+        at = {Hold.RAMP: route.cold_due, Hold.SILENT: last + TRIAL}.get(why, route.due())
+        return at if at > self._now else 0
 
     def _shut(self, route: Route) -> Hold | None:
         """What keeps calls from this route now, of waits, pace, health and ramp; None where they may go."""
--- a/calicohitch/state.py
+++ b/calicohitch/state.py
@@ -6,18 +6,17 @@
 from __future__ import annotations
 
 import math
-from bisect import bisect_left, bisect_right, insort
+from bisect import bisect_left, insort
 from collections import deque
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
 from .core.share import Share
-from .interface import Arrived, Effect, Hold, Listed, MessageClass, RouteWas
+from .interface import Arrived, Hold, Listed, MessageClass, RouteWas
 
 MEAN_GAIN = 0.15  # share: weight of a new latency in the mean; about the last dozen calls count
 SECOND = 1_000_000  # microseconds
 PACE_SPAN = 2 * SECOND  # span over which accepted calls are counted: the longest usual span of a limit
-TRIAL = SECOND // 2  # the first pause between trials of a sick route
 STALL = 4  # mean latencies without any answer until a route counts as silent
 GROW = 0.1  # share by which the pace grows each second without a refusal
 PACE_END = 5  # seconds: without a refusal for so long, pacing ends
@@ -67,23 +66,11 @@
     def by_aim(self) -> tuple[int, int]:
         return self.aim_at, self.id
 
-    def refusable(self) -> bool:  # coming again must be harmless
-        return self.cls.harmless_again or not self.may_have_run
-
-    def repeatable(self, now: int) -> bool:  # by what the earlier attempts prove
-        keyed_yet = self.cls.effect is Effect.KEYED and now < self.key_until()
-        return self.cls.effect is Effect.SAFE or not self.may_have_run or keyed_yet
-
     def key_until(self) -> int:
         """So long does the destination surely remember the key."""
         return min((sent for sent, _ in self.may_have_run.values()), default=0) + self.cls.window
 
 
-def before(line: Sequence[Message], aim: float, or_at: bool = False) -> int:
-    """How many of a line, which lies in the order of its aims, have theirs before `aim`."""
-    return (bisect_right if or_at else bisect_left)(line, aim, key=lambda message: message.aim_at)
-
-
 class Route:
     """What shares one limit, wait and fate: a destination, or one endpoint where routes are apart."""
 
