--- a/benchmarks/takeover.py
+++ b/benchmarks/takeover.py
@@ -61,10 +61,12 @@
         used = [cpu_of(pid) - was for pid, was in zip(pids, before, strict=True)]
         asked = sum(rig.etcd.calls.values()) - asked if isinstance(rig, FleetRig) else 0
         times.sort()
-        return {"CPU a message, ms": used[0] * 1e3 / messages,
-                "CPU of all three a message, ms": sum(used) * 1e3 / messages, "202 median, ms": statistics.median(times), "202 p99, ms": times[int(len(times) * 0.99)],
-                "taken on, share": len(times) / messages, "asked of the store a second": asked / seconds,
-                "bytes held at the end": float(held)}
+        return {
+            "CPU a message, ms": used[0] * 1e3 / messages,
+            "CPU of all three a message, ms": sum(used) * 1e3 / messages,
+            "202 median, ms": statistics.median(times), "202 p99, ms": times[int(len(times) * 0.99)],
+            "taken on, share": len(times) / messages, "asked of the store a second": asked / seconds,
+            "bytes held at the end": float(held)}
 
 
 def main(rounds: int = 5, messages: int = 800) -> None:
