Takeover read again: one wait, one clock bound, one way to count frames; dead pieces dropped

Behaviour stays. The waits for a holder's word were two loops (`_until` serves both), the earliest time of another relay's clock was worked out twice in Holding, frames were numbered in three ways, each question to the store was told its type by an assertion, and a new generation was drawn in three places.

--- a/calicohitch/core/seam.py
+++ b/calicohitch/core/seam.py
@@ -145,15 +145,13 @@
 
     def is_copied(self, number: int) -> bool: ...
 
-    def is_safe(self, number: int) -> bool:
-        """Whether all that was recorded of it is copied as its class asks."""
-
     def may_be_taken_on(self, number: int) -> bool:
         """Whether its client may be told that it is taken on."""
 
     async def until_taken_on(self, number: int, within_s: float) -> bool: ...
 
-    async def until_safe(self, number: int, within_s: float) -> bool: ...
+    async def until_safe(self, number: int, within_s: float) -> bool:
+        """Until all that was recorded of it is copied as its class asks; False where that takes longer."""
 
     def when_safe(self, number: int, then: Callable[[], None]) -> None: ...
 
--- a/calicohitch/fleet/membership.py
+++ b/calicohitch/fleet/membership.py
@@ -9,9 +9,10 @@
 
 import os
 import secrets
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import suppress
 from pathlib import Path
+from typing import TypeVar
 
 import anyio
 from loguru import logger
@@ -24,6 +25,7 @@
 from .store import Changed, Compacted, Seen, Store, StoreError
 from .tenure import Kept, Step, Taken, Tenure, kept_bytes, kept_of
 
+T = TypeVar("T")
 _FILE = "fleet"
 _AGAIN_S = 0.25
 _SILENT_S = 15.0  # a watch that gives no sign for so long is opened anew
@@ -66,10 +68,10 @@
 
     # Questions to the store.
 
-    async def _asked(self, ask: Callable[[], object]) -> object:
+    async def _asked(self, ask: Callable[[], Awaitable[T]]) -> T:
         try:
             with anyio.fail_after(2 * self._set.store_timeout_ms / 1e3):  # the store's own limit comes first
-                answer = await ask()  # type: ignore[misc]
+                answer = await ask()
         except (StoreError, TimeoutError, OSError) as err:
             if not self.failures:
                 logger.bind(event="fleet.store").warning("the coordination store: {}: {}", type(err).__name__, err)
@@ -98,7 +100,6 @@
             seen = await self._asked(lambda: self.store.read(self.roster.keys.prefix))
         except StoreError:
             return False
-        assert isinstance(seen, Seen)
         if self.roster.went_back(seen, asked_at):
             await self._gone_back(seen)
         elif seen.revision >= self.roster.revision:  # else the watch has told of more since
@@ -120,13 +121,15 @@
             "their own folders", self.roster.revision, seen.revision)
         self.roster.replace(seen, self._now())
         if self.roster.generation in ("", before):
-            await self.commit(self.tenure.generate(self.roster, secrets.token_hex(8)))
+            await self._generate()
             with suppress(StoreError):
                 again = await self._asked(lambda: self.store.read(self.roster.keys.prefix))
-                assert isinstance(again, Seen)
                 self.roster.replace(again, self._now())
         self._changed()
 
+    async def _generate(self) -> None:
+        await self.commit(self.tenure.generate(self.roster, secrets.token_hex(8)))
+
     def _changed(self) -> None:
         if self.registered and not self._leaving and not self.proof.passed and (why := self.tenure.look(self.roster)):
             self.proof.passed = why
@@ -146,7 +149,7 @@
                 wait_until = self._now() + _NAME_WAIT_TTLS * self._set.ttl_ms
                 continue
             if not self.roster.generation:
-                await self.commit(self.tenure.generate(self.roster, secrets.token_hex(8)))
+                await self._generate()
                 continue
             if not self.tenure.epoch and (why := self.tenure.taken_by(self.roster, self.kept)):
                 if self._now() > wait_until:
@@ -175,7 +178,6 @@
             lease = await self._asked(lambda: self.store.grant(self._set.ttl_ms))
         except StoreError:
             return False
-        assert isinstance(lease, int)
         self.lease = lease
         epoch, step = self.tenure.register(self.roster, self.kept, lease)
         done = await self.commit(step)
@@ -206,7 +208,6 @@
         sent, asked_at = self._now(), self.roster.revision
         try:
             seen = await self._asked(lambda: self.store.read(self.tenure.keys.member(self.tenure.relay)))
-            assert isinstance(seen, Seen)
             mine = [item for item in seen.items if item.lease == self.lease]
             work = self.roster.works.get((self.tenure.relay, self.tenure.epoch))
             stale = work is not None and work.generation != self.roster.generation
@@ -224,7 +225,7 @@
         if not await self.read() or self.proof.passed:
             return
         if not self.roster.generation:
-            await self.commit(self.tenure.generate(self.roster, secrets.token_hex(8)))
+            await self._generate()
             if not await self.read():
                 return
         sent = self._now()
@@ -232,7 +233,6 @@
             lease = await self._asked(lambda: self.store.grant(self._set.ttl_ms))
         except StoreError:
             return
-        assert isinstance(lease, int)
         if await self.commit(self.tenure.reassert(self.roster, lease)):
             self.lease = lease
             self.proof.renewed(sent)
--- a/calicohitch/journal.py
+++ b/calicohitch/journal.py
@@ -217,9 +217,9 @@
             self._append(_Kind(kind), number, data)
         return int(number)
 
-    @property
-    def open_numbers(self) -> list[int]:
-        return list(self._home)
+    def is_open(self, number: int) -> bool:
+        """Whether a message is taken on and not closed."""
+        return number in self._home
 
     def attempt(self, number: int, attempt: int, sent_at: float, zone: int) -> None:
         self._append(_Kind.ATTEMPT, number, _ATTEMPT.pack(attempt, sent_at, zone))
--- a/calicohitch/takeover/claims.py
+++ b/calicohitch/takeover/claims.py
@@ -12,7 +12,7 @@
 from collections.abc import Mapping
 
 from ..fleet.proof import Term
-from ..fleet.records import Claim, Keys, State, Work, write_record
+from ..fleet.records import Claim, State, Work, write_record
 from ..fleet.roster import Roster
 from ..fleet.store import Op, Put, Unless
 from ..fleet.tenure import Step
@@ -129,6 +129,3 @@
         return True
     mine = [part for part, holders in enumerate(work.parts) if any(holder.relay == me for holder in holders)]
     return not any(part in mine for part in roster.parts_left(owner, epoch))
-
-
-__all__ = ["STEP_MS", "Claims", "Held", "Keys", "is_over"]
--- a/calicohitch/takeover/copying.py
+++ b/calicohitch/takeover/copying.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 
 from ..fleet.records import Holder
@@ -80,9 +80,8 @@
         message = self._messages.get(number)
         if message is None:
             return
-        self._seq += 1
-        message.last = self._seq
-        frame = frames.Record(self._seq, message.part, payload)
+        message.last = self._next()
+        frame = frames.Record(message.last, message.part, payload)
         for link in list(self.links.values()):
             if message.part in link.parts:
                 self._send(link, frame, now)
@@ -98,9 +97,9 @@
 
     def wait(self, route: int, until: float, now: float) -> None:
         """A told wait, for all holders."""
-        self._seq += 1
+        frame = frames.Wait(self._next(), route, until)
         for link in list(self.links.values()):
-            self._send(link, frames.Wait(self._seq, route, until), now)
+            self._send(link, frame, now)
 
     def is_copied(self, number: int) -> bool:
         return number in self._messages
@@ -225,10 +224,3 @@
     def holders(self) -> Iterable[str]:
         """All relays that hold something, or should by what is published."""
         return {holder.relay for part in range(self.parts) for holder in self.required(part)}
-
-    def told(self) -> Mapping[str, object]:
-        """How copies stand, for those who watch."""
-        return {"messages": len(self._messages), "alone": self.alone, "stuck": self.stuck,
-                "holders": [[holder.relay for holder in holders] for holders in self.published],
-                "links": {relay: {"acked": link.acked, "sent": link.sent, "parts": sorted(link.parts)}
-                          for relay, link in sorted(self.links.items())}}
--- a/calicohitch/takeover/holdings.py
+++ b/calicohitch/takeover/holdings.py
@@ -73,7 +73,7 @@
             number = self.journal.copied(payload)
         except JournalFull as err:
             raise NoRoom(str(err)) from err
-        if number in self.journal._home:
+        if self.journal.is_open(number):
             self._part[number] = part
             if part in self._fresh:
                 self._fresh[part].add(number)
@@ -110,9 +110,7 @@
         self.journal.close()
         self.journal = Journal(self.folder, self._budget)
         wanted = set(parts)
-        shift = self.offset.lowest(now)
-        if shift == float("-inf"):
-            shift = -clock_error
+        shift = self._earliest(now, clock_error)
         latest = self.offset.highest(now)
         if latest == float("inf"):
             latest = clock_error
@@ -129,8 +127,12 @@
 
     def whole_until(self, now: float, clock_error: float) -> float:
         """Up to this time, by this relay's clock and as early as it can have been, all that the owner did is here."""
+        return self.whole_at + self._earliest(now, clock_error)
+
+    def _earliest(self, now: float, clock_error: float) -> float:
+        """What makes a time of the owner's the earliest that it can be here."""
         shift = self.offset.lowest(now)
-        return self.whole_at + (shift if shift > float("-inf") else -clock_error)
+        return shift if shift > float("-inf") else -clock_error
 
     def told_waits(self, now: float) -> dict[int, float]:
         """Routes with a told wait, and until when by this relay's clock, as late as that can be."""
--- a/calicohitch/takeover/manager.py
+++ b/calicohitch/takeover/manager.py
@@ -129,26 +129,23 @@
     def is_copied(self, number: int) -> bool:
         return self.copying.is_copied(number)
 
-    def is_safe(self, number: int) -> bool:
-        return self.copying.is_safe(number)
-
     def may_be_taken_on(self, number: int) -> bool:
         return self.copying.may_be_taken_on(number)
 
     async def until_taken_on(self, number: int, within_s: float) -> bool:
-        with anyio.move_on_after(within_s):
-            while not self.copying.may_be_taken_on(number):
-                await self.news.wait()
-            return True
-        return False
+        return await self._until(lambda: self.copying.may_be_taken_on(number), within_s)
 
     async def until_safe(self, number: int, within_s: float) -> bool:
         """Wait until all that was recorded of a message is copied as its class asks."""
         if self.copying.is_safe(number):
             return True
         part, last = self.copying.mark(number)
+        return await self._until(lambda: self.copying.has(part, last), within_s)
+
+    async def _until(self, holds: Callable[[], bool], within_s: float) -> bool:
+        """Look again with each word of a link or of the store."""
         with anyio.move_on_after(within_s):
-            while not self.copying.has(part, last):
+            while not holds():
                 await self.news.wait()
             return True
         return False
@@ -295,10 +292,9 @@
 
     def _done_waiting(self) -> None:
         if self._waiting:
-            due = [then for number, then in self._waiting if self.copying.is_safe(number)]
-            self._waiting = [(number, then) for number, then in self._waiting if not self.copying.is_safe(number)]
-            for then in due:
-                then()
+            waiting, self._waiting = self._waiting, []
+            for number, then in waiting:
+                self.when_safe(number, then)
 
     # Others' work.
 
@@ -403,8 +399,7 @@
             while self._publishing or self._waiting:
                 await anyio.sleep(_LOOK_S)
             for number in self.copying.numbers():
-                if self.copying.is_copied(number) and not self.copying.is_safe(number):
-                    await self.until_safe(number, within_s)
+                await self.until_safe(number, within_s)
         await self.fleet.leave()
         return True
 
