What a restart finds taken on and untried gets its call; an attempt is recorded once its connection is up

Changed: the record is written in `_written`, after `_wanted` has said yes and before the first byte (copied messages keep theirs before the copies); an attempt that never connected has one record, its outcome. `Arrived.restored` tells the decisions what an earlier life took on; what of it was never called is owed a call: not given up by a guessed mean, not trimmed, ranked with those that leave before fresh ones, and newcomers are refused at the door meanwhile. `Send` names its attempt, and every Send settles once. `_wanted` asks whether the message is open and has time. Allowances, `before` and `room_of` moved to state.py: they decide nothing on a message. A cap of one or two messages left a room of none, which gave up everything at once: it is one at least.

--- a/calicohitch/grpc/delivery.py
+++ b/calicohitch/grpc/delivery.py
@@ -108,7 +108,7 @@
         try:
             with scope, timer:
                 connection, warm = await self._connection((endpoint, address))
-                if not warm and not wanted():
+                if not wanted():
                     return Result(Outcome.MOOT)
                 if call.marks:
                     call.marks.warm, call.marks.connected_at = warm, self._clock.now()
--- a/calicohitch/interface.py
+++ b/calicohitch/interface.py
@@ -237,7 +237,7 @@
 @dataclass(frozen=True, slots=True)
 class Arrived:
     """A new message, the Sender's to end exactly once; `earlier` is what was tried at it before: by a life that
-    ended, or for a client whose call broke and who comes again."""
+    ended, or for a client whose call broke and who comes again. `restored`: an earlier life took it on."""
 
     message: int
     class_index: int
@@ -250,6 +250,7 @@
     from_dead_courier: bool = False
     earlier: tuple[EarlierAttempt, ...] = ()
     protocol: int = 0
+    restored: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -352,12 +353,14 @@
 @dataclass(frozen=True, slots=True)
 class Send:
     """Call an endpoint with the message. `timeout` 0: until the client quits.
-    `not_after`: where a connection comes up later than this, the call is moot; 0: no such limit."""
+    `not_after`: where a connection comes up later than this, the call is moot; 0: no such limit. `attempt`: which
+    attempt at the message it is; exactly one `Settled` has to answer it."""
 
     message: int
     endpoint: int
     timeout: int = 0
     not_after: int = 0
+    attempt: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/calicohitch/journal.py
+++ b/calicohitch/journal.py
@@ -229,6 +229,7 @@
         self._append(_Kind.UNTIL, number, _UNTIL.pack(attempt, until))
 
     def outcome(self, number: int, attempt: int, may_have_run: bool) -> None:
+        """How an attempt ended; one that surely never ran needs no record before this."""
         self._append(_Kind.OUTCOME, number, _OUTCOME.pack(attempt, may_have_run))
 
     def end(self, number: int, end: End) -> None:
@@ -447,6 +448,8 @@
             entry.attempts.append(Attempt(sent_at, zone))
         elif kind == _Kind.OUTCOME:
             attempt, may_have_run = _OUTCOME.unpack(rest)
+            if attempt == len(entry.attempts) and not may_have_run:  # its connection never came up: this is all of it
+                entry.attempts.append(Attempt(self.written_until, 0))
             if attempt < len(entry.attempts):
                 entry.attempts[attempt].may_have_run = bool(may_have_run)
                 entry.attempts[attempt].settled = True
--- a/calicohitch/net/relay.py
+++ b/calicohitch/net/relay.py
@@ -54,6 +54,7 @@
     told: Submission | None = None  # None: an earlier life took it on
     accepted: bool = False  # the decisions have it
     calls: dict[int, anyio.CancelScope] = field(default_factory=dict)
+    written: set[int] = field(default_factory=set)  # attempts whose records are there: of these a byte may have left
     withdrawn: bool = False  # its client has gone; the attempt that is out ends by itself
 
     @property
@@ -204,7 +205,8 @@
             return Refusal.NO_KEY  # it could not be repeated as its class may
         if not self._directory.knows(told.dest):
             return Refusal.UNKNOWN
-        if len(self._open) >= self._config.settings.open_cap or not self._journal.has_room(len(told.body)):
+        room = len(self._open) < self._config.settings.open_cap and self._sender.has_room()
+        if not room or not self._journal.has_room(len(told.body)):
             return Refusal.FULL
         if told.reply and (known := self._memory.recall(told.id)):
             return self._take_again(known, told)
@@ -405,25 +407,42 @@
                 pass
 
     def _send(self, action: i.Send) -> None:
-        message, now = self._open[action.message], self._clock.now()
+        """Begin an attempt. Whatever becomes of it, it settles once: the decisions count its slot until then."""
+        message, now = self._open.get(action.message), self._clock.now()
+        if message is None:
+            logger.error("message {} is not here: it is not sent", action.message)
+            self.feed(i.Settled(action.message, action.attempt, action.endpoint, i.Outcome.MOOT, 0))
+            return
         entry, number = message.entry, len(message.entry.attempts)
         member = self._directory.get(action.endpoint)
         attempt = Attempt(now, member.listed.zone if member else 0)
         entry.attempts.append(attempt)
         more, marks = (self._tracer.sending(entry.number, number, member, attempt.zone, now)
                        if self._tracer else ((), None))
+        if self._copies and self._copies.is_copied(entry.number) and not self._written(message, number, action):
+            self._settled(message, number, action.endpoint, Result(i.Outcome.MOOT))
+            return
+        message.calls[number] = anyio.CancelScope()
+        assert self._tasks is not None
+        self._tasks.start_soon(self._call, message, number, action, member, more, marks)
+
+    def _written(self, message: _Open, number: int, action: i.Send) -> bool:
+        """An attempt's record, before its first byte; without one it is not made. Once its connection is up: before
+        that no byte can leave, and a life that ends there must not be taken for one that may have delivered. Only for
+        copied messages it comes first, since others have to hold it by then."""
+        if number in message.written:
+            return True
+        entry, attempt = message.entry, message.entry.attempts[number]
         try:
             self._journal.attempt(entry.number, number, attempt.sent_at, attempt.zone)
             if self._copies and self._copies.is_copied(entry.number):
-                attempt.until = min(now + (to_ms(action.timeout) or math.inf), entry.deadline)
+                attempt.until = min(attempt.sent_at + (to_ms(action.timeout) or math.inf), entry.deadline)
                 self._journal.until(entry.number, number, attempt.until)
         except JournalFull as err:
             logger.error("journal: {}", err)
-            self._settled(message, number, action.endpoint, Result(i.Outcome.MOOT))
-            return
-        message.calls[number] = anyio.CancelScope()
-        assert self._tasks is not None
-        self._tasks.start_soon(self._call, message, number, action, member, more, marks)
+            return False
+        message.written.add(number)
+        return True
 
     async def _call(self, message: _Open, attempt: int, action: i.Send, member: Member | None,
                     more: Sequence[tuple[bytes, bytes]], marks: AttemptFacts | None) -> None:
@@ -431,7 +450,7 @@
         if self._copies and not await self._copies.until_safe(entry.number, (to_ms(action.timeout) or 1e4) / 1e3):
             self._settled(message, attempt, action.endpoint, result)  # nobody may know of it: it was not made
             return
-        left = max(1.0, entry.deadline - self._clock.now())
+        left = max(1.0, entry.deadline - self._clock.now())  # without any, `_wanted` says no
         told = message.told
         call = Call(entry.id, entry.key, entry.body, min(to_ms(action.timeout) or left, left), more, marks,
             told.content if told else None)
@@ -439,10 +458,11 @@
         try:
             if member and member.address:
                 result = await delivery.call(action.endpoint, member.address, call,
-                    message.calls[attempt], lambda: self._wanted(action, member))
+                    message.calls[attempt], lambda: self._wanted(action, member) and
+                    self._written(message, attempt, action))
         except Exception:  # guards all other messages against a fault in the handling of one
             logger.exception("a call broke off")
-            result = Result(i.Outcome.RESET)
+            result = Result(i.Outcome.RESET if attempt in message.written else i.Outcome.MOOT)
         if result.wait and member:
             now = self._clock.now()
             self._waits = {route: until for route, until in self._waits.items() if until > now}
@@ -457,8 +477,12 @@
 
     def _wanted(self, action: i.Send, member: Member) -> bool:
         """Whether a call may still go out, now that its connection is up. Guards against slow connects and pauses: its
-        endpoint may drain by now, its destination have told to wait, its key be forgotten, its relay be replaced."""
+        message may be over by now, or its time, its endpoint drain, its destination have told to wait, its key be
+        forgotten, its relay be replaced."""
         now, told = self._clock.now(), self._directory.get(action.endpoint)
+        message = self._open.get(action.message)
+        if message is None or message.withdrawn or message.entry.deadline <= now:
+            return False
         if not self._journal.may_act():  # this process stood still, and a later life has its work
             return False
         if self._copies and not self._copies.may_act(action.message):  # and another relay may have it by now
@@ -485,7 +509,7 @@
         else:
             try:
                 self._journal.outcome(number, attempt, not result.outcome.never_ran)
-            except JournalFull as err:  # after a restart the attempt counts as one that may have run
+            except Exception as err:  # after a restart the attempt counts as one that may have run
                 logger.error("journal: {}", err)
             made = message.entry.attempts[attempt]
             made.may_have_run, made.settled = not result.outcome.never_ran, True
@@ -527,7 +551,7 @@
             return
         try:
             self._journal.end(number, end)
-        except JournalFull as err:  # after a restart the decisions come to an end of their own
+        except Exception as err:  # after a restart the decisions come to an end of their own
             logger.error("journal: {}", err)
         notice = Notice(number, message.entry.id, end)
         if self._copies:  # a successor that does not know of the end would come to another
@@ -538,7 +562,7 @@
     def _closed(self, number: int) -> None:
         try:
             self._journal.closed(number)
-        except JournalFull as err:  # after a restart the message is taken up again, which does no harm
+        except Exception as err:  # after a restart the message is taken up again, which does no harm
             logger.error("journal: {}", err)
         if self._tracer:
             self._tracer.closed(number)
@@ -604,7 +628,7 @@
                 self._open[entry.number] = _Open(entry, accepted=True)
                 self._by_id[entry.id] = entry.number
                 arrived.append(i.Arrived(entry.number, self._config.names.classes.index(entry.class_name),
-                    entry.dest, max(0, to_micros(entry.deadline - now)), earlier=_earlier(entry)))
+                    entry.dest, max(0, to_micros(entry.deadline - now)), earlier=_earlier(entry), restored=True))
         return arrived
 
     # Copies of this relay's work, and work of others.
--- a/calicohitch/rules.py
+++ b/calicohitch/rules.py
@@ -8,7 +8,6 @@
 
 import math
 import random
-from bisect import bisect_left, bisect_right
 from collections import defaultdict, deque
 from collections.abc import Callable, Iterator, Sequence
 from heapq import heapify, heappop, heappush, merge
@@ -20,7 +19,8 @@
 from .interface import (Action, Arrived, Cancel, CloseIdle, Effect, Event, Fail, Held, Hold, ListKind,
     ListTold, MessageClass, Outcome, PeerSaid, Phase, Recalled, Refuse, Send, Settings, Settled, SetTimer,
     Tell, Watch, Withdrawn)
-from .state import SHARED, Call, Destination, Endpoint, Message, Route, conformance, known, recall, smoothed
+from .state import (SHARED, Allowances, Call, Destination, Endpoint, Message, Route, before,
+    conformance, known, recall, room_of, smoothed)
 
 SECOND = 1_000_000  # microseconds
 TIERS = (1.0, 0.9, 0.8, 0.0)  # shares of conformance: the paper's service levels
@@ -41,7 +41,6 @@
 TRIAL, TRIAL_MAX = SECOND // 2, 2 * SECOND  # first, longest pause between trials of a sick route
 CUT = 0.85  # share of the accepted rate at which a refused route is paced
 TIP_ROOM = 0.8  # share of what would push a warming route over that is used where its limit is told
-ROOM = 0.9  # share of the holding room above which the least worth is given up
 ASK_AGAIN, ASK_MAX = SECOND, 8 * SECOND  # first, longest pause after a failed call to the list
 
 
@@ -66,11 +65,6 @@
     return message.cls.effect is Effect.SAFE or not message.may_have_run or keyed_yet
 
 
-def before(line: Sequence[Message], aim: float, or_at: bool = False) -> int:
-    """How many of a line, which lies in the order of its aims, have theirs before `aim`."""
-    return (bisect_right if or_at else bisect_left)(line, aim, key=lambda message: message.aim_at)
-
-
 class Sender:
     """The decisions of one courier. Feed it every event; carry out its actions in order."""
 
@@ -89,7 +83,7 @@
         self._key_rest: dict[int, int] = {}
         self._crowded_until: dict[int, int] = {}  # kind: from failed connects
         self._choked: dict[int, int] = {}  # kind: doublings of its rests
-        self._allowance: dict[int, tuple[float, int]] = {}
+        self._allowances = Allowances(settings.tenants, settings.couriers)
         self._actions: list[Action] = []
         self._mean: float | None = None  # latency of served calls, over all destinations
         self._timer_at = self._slots_taken = 0
@@ -118,7 +112,8 @@
 
     def _arrived(self, told: Arrived) -> None:
         cls = self._set.classes[told.class_index]
-        worth = cls.worth * (1.0 if self._within_share(told.tenant) else self._set.over_share_worth)
+        inside = self._allowances.take(told.tenant, self._now)
+        worth = cls.worth * (1.0 if inside else self._set.over_share_worth)
         message = self._open[told.message] = Message(told, cls, self._now, worth)
         self._hold(message)
         self._dests[message.dest].arrived(self._now)
@@ -132,20 +127,10 @@
         dest.hold(message)
         self._touched[message.dest] = None
         bad = dest.crowd + dest.fails  # crowded, failing destinations give way first when room is short
-        if (rank := message.worth / len(dest.held) / (1 + bad)) < message.room:
+        if (rank := message.worth / len(dest.held) / (1 + bad)) < message.room and not message.owed:
             message.room = rank
             heappush(self._least, (rank, message.aim_at, message.id))
 
-    def _within_share(self, tenant: int) -> bool:
-        """A tenant's traffic past its share is worth little: its own part of the share is counted here."""
-        if tenant >= len(self._set.tenants):
-            return True
-        quota = self._set.tenants[tenant].quota_per_s / self._set.couriers
-        tokens, at = self._allowance.get(tenant, (0.0, 0))
-        tokens = min(2 * quota, tokens + quota * (self._now - at) / SECOND)
-        self._allowance[tenant] = (max(0.0, tokens - 1), self._now)
-        return tokens >= 1
-
     def _settled(self, event: Settled) -> None:
         message = self._open.get(event.message)
         if message is None or (call := message.calls.pop(event.attempt, None)) is None:
@@ -162,7 +147,7 @@
         if not call.told:
             call.told = True
             self._learn(call, event)
-        message.refused = event.outcome is Outcome.FULL
+        message.came_back(event.outcome)
         if event.outcome.never_ran:
             del message.may_have_run[event.attempt]
         elif message.told.key and event.outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED):
@@ -248,11 +233,22 @@
         Guards the slots against calls that an unknown silent partner would hold most of a message's life."""
         return min(cls.aim / 2, UNKNOWN * (self._mean or cls.aim))
 
-    def _latency(self, dest: Destination, cls: MessageClass) -> float:
+    def _latency(self, dest: Destination, cls: MessageClass, guessed: bool = True) -> float:
         """The mean of served calls, at the best route."""
-        unknown = self._unknown(cls)
+        unknown = self._unknown(cls) if guessed else 0.0
         return min((e.route.mean or unknown for e in dest.ends.values()), default=unknown)
 
+    def _shortest(self, dest: Destination, message: Message) -> float:
+        """The time that a call needs: with less than that left it is not made. What an earlier life took on is
+        owed its call, and a guess is no ground to give it up unseen. Harm: calls that end after their time."""
+        return max(1.0, self._latency(dest, message.cls, not message.owed))
+
+    def has_room(self) -> bool:
+        """Whether one more may be taken on. Guards what an earlier life owes a call: newcomers are turned
+        away before they are what there is to give up."""
+        full = len(self._open) >= room_of(self._set.open_cap)
+        return not (full and any(message.owed for message in self._open.values()))
+
     def _rare(self, dest: Destination) -> bool:  # so that the other couriers see most of what happens there
         return self._longest_rest(dest) > TRIAL_MAX
 
@@ -381,14 +377,14 @@
         for dest in [self._dests[name] for name in self._touched]:
             for line in list(dest.lines.values()):
                 cls = line[0].cls
-                late = before(line, self._now + self._latency(dest, cls) - (cls.deadline - cls.aim))
+                late = before(line, self._now + self._shortest(dest, line[0]) - (cls.deadline - cls.aim))
                 lost = [m for m in line[late:] if not repeatable(m, self._now)] if line[0].attempts else []
                 for message in line[:late] + lost:
                     self._give_up(message)
 
     def _make_room(self) -> None:
         """Guards against a full holding room: past open_cap even the worthiest are turned away unseen."""
-        while self._least and len(self._open) > min(self._set.open_cap - 2, ROOM * self._set.open_cap):
+        while self._least and len(self._open) > room_of(self._set.open_cap):
             message = self._open.get(heappop(self._least)[2])
             if message and message.id in self._dests[message.dest].held:
                 self._touched[message.dest] = None
@@ -403,7 +399,7 @@
         def rank(m: Message) -> tuple[float, ...]:
             usual, cost = self._latency(dest, m.cls), penalty(shares[m.told.class_index], m.worth)
             early = self._now < m.deadline_at - LATEST_START * usual
-            m.rank = (early, not m.attempts, -cost, m.aim_at < self._now + usual)
+            m.rank = (early, not (m.attempts or m.owed), -cost, m.aim_at < self._now + usual)
             return (*m.rank, -m.worth, m.aim_at, m.id)
 
         def ordered(line: list[Message]) -> list[Message]:
@@ -550,7 +546,8 @@
         call.left += 1
         call.again |= message.refused
         timeout = self._timeout(message, endpoint.route)
-        self._actions.append(Send(message.id, endpoint.told.endpoint, timeout, not_after))
+        attempt = message.attempts - 1
+        self._actions.append(Send(message.id, endpoint.told.endpoint, timeout, not_after, attempt))
 
     def _timeout(self, message: Message, route: Route) -> int:
         """Guards against calls that hang or are lost and hold slots. Unsafe messages end by one, so they get
@@ -583,7 +580,7 @@
     def _wake_of(self, dest: Destination) -> int:
         wake = [self._now + SECOND, dest.rest_until]
         for line in dest.lines.values():
-            late = line[0].deadline_at - int(self._latency(dest, line[0].cls))
+            late = line[0].deadline_at - int(self._shortest(dest, line[0]))
             wake.append(max(self._now, late) + 1)
             if line[0].attempts or line[0].cls.in_order:
                 wake += [at for m in line for at in (self._key_rest.get(m.told.key, 0), m.key_until())]
--- a/calicohitch/state.py
+++ b/calicohitch/state.py
@@ -6,13 +6,13 @@
 from __future__ import annotations
 
 import math
-from bisect import bisect_left, insort
+from bisect import bisect_left, bisect_right, insort
 from collections import deque
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
 from .core.share import Share
-from .interface import Arrived, Hold, Listed, MessageClass, RouteWas
+from .interface import Arrived, Hold, Listed, MessageClass, Outcome, RouteWas, Tenant
 
 MEAN_GAIN = 0.15  # share: weight of a new latency in the mean; about the last dozen calls count
 SECOND = 1_000_000  # microseconds
@@ -20,6 +20,7 @@
 STALL = 4  # mean latencies without any answer until a route counts as silent
 GROW = 0.1  # share by which the pace grows each second without a refusal
 PACE_END = 5  # seconds: without a refusal for so long, pacing ends
+ROOM = 0.9  # share of the holding room above which the least worth is given up
 SHARED = -1  # name of the one route of a destination whose endpoints are not routes apart
 
 
@@ -31,6 +32,34 @@
     return float(took) if mean is None else mean + MEAN_GAIN * (took - mean)
 
 
+def before(line: Sequence[Message], aim: float, or_at: bool = False) -> int:
+    """How many of a line, which lies in the order of its aims, have theirs before `aim`."""
+    return (bisect_right if or_at else bisect_left)(line, aim, key=lambda message: message.aim_at)
+
+
+def room_of(open_cap: int) -> float:
+    """How many messages may be open before the least worth is given up; one, where the cap is tiny."""
+    return max(1.0, min(open_cap - 2, ROOM * open_cap))
+
+
+class Allowances:
+    """This courier's own parts of the tenants' shares: what comes past them is worth little."""
+
+    def __init__(self, tenants: Sequence[Tenant], couriers: int) -> None:
+        self._quotas = [tenant.quota_per_s / couriers for tenant in tenants]
+        self._left: dict[int, tuple[float, int]] = {}
+
+    def take(self, tenant: int, now: int) -> bool:
+        """Whether one more message of the tenant lies inside its share; true of who has none."""
+        if tenant >= len(self._quotas):
+            return True
+        quota = self._quotas[tenant]
+        tokens, at = self._left.get(tenant, (0.0, 0))
+        tokens = min(2 * quota, tokens + quota * (now - at) / SECOND)
+        self._left[tenant] = (max(0.0, tokens - 1), now)
+        return tokens >= 1
+
+
 @dataclass(eq=False)
 class Call:
     """One call out: the messages that travel in it share its slot and its fate."""
@@ -58,10 +87,16 @@
         self.may_have_run = {  # attempt -> time sent, zone
             n: (was.sent_at, was.zone) for n, was in enumerate(told.earlier) if was.may_have_run}
         self.last: Endpoint | None = None
+        self.owed = told.restored and not self.may_have_run  # a call: an earlier life took it on, and made none
 
-    def alike(self) -> tuple[int, float, bool]:
+    def alike(self) -> tuple[int, float, bool, bool]:
         """What a held message shares with those that differ from it in their times alone."""
-        return self.told.class_index, self.worth, self.attempts > 0
+        return self.told.class_index, self.worth, self.attempts > 0, self.owed
+
+    def came_back(self, outcome: Outcome) -> None:
+        """An attempt ended so: whether it was a call at all, and whether it was refused."""
+        self.refused = outcome is Outcome.FULL
+        self.owed = self.owed and outcome in (Outcome.CONNECT_FAILED, Outcome.MOOT, Outcome.CANCELLED)
 
     def by_aim(self) -> tuple[int, int]:
         return self.aim_at, self.id
@@ -152,7 +187,7 @@
     ends: dict[int, Endpoint] = field(default_factory=dict)
     routes: dict[int, Route] = field(default_factory=dict)
     held: dict[int, Message] = field(default_factory=dict)
-    lines: dict[tuple[int, float, bool], list[Message]] = field(default_factory=dict)  # the held, by aim
+    lines: dict[tuple[int, float, bool, bool], list[Message]] = field(default_factory=dict)  # the held, by aim
     came: int = 0  # messages since `born`
     crowd: int = 0  # refusals, less the calls accepted since
     fails: int = 0  # failed calls since one was accepted
