--- /dev/null
+++ b/tests/orders/test_attempts.py
@@ -0,0 +1,221 @@
+"""One attempt's endings, each caused: what the answer's bytes, the close and the clock may do to each other."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Awaitable, Callable
+from typing import Any
+from unittest import mock
+
+import anyio
+from world import HERE, LIMIT, World, member, play, until
+
+from calicohitch.clock import Clock
+from calicohitch.config import Address
+from calicohitch.core.leases import Holder, Leases
+from calicohitch.core.seam import Call, Result
+from calicohitch.interface import Outcome
+from calicohitch.net.endpoints import Endpoints
+from calicohitch.net.http import ClientConnection, Link, listen
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+def in_world(test: Callable[..., Awaitable[None]]) -> Callable[[unittest.TestCase], None]:
+    return lambda self: play(lambda world: test(self, world))
+
+
+class Scripted:
+    """An endpoint of which each step is the test's: it accepts, reads, writes and closes when it is told to."""
+
+    def __init__(self) -> None:
+        self.listener = listen(HERE)
+        self.address = Address(*self.listener.getsockname())
+        self.endpoints = Endpoints(Clock(), (), 10_000, 1_500, Leases(8, {}))
+        self.result: Result | None = None
+
+    async def call(self, timeout: float = LIMIT * 1e3, scope: anyio.CancelScope | None = None) -> Result:
+        told = Call("a1", None, b"x", timeout)
+        self.result = await self.endpoints.call(1, self.address, told, scope or anyio.CancelScope(), lambda: True)
+        return self.result
+
+    async def accepted(self) -> Link:
+        await anyio.wait_readable(self.listener)
+        return Link(self.listener.accept()[0])
+
+    @property
+    def kept(self) -> int:
+        return self.endpoints._leases.held[Holder.CALLS]
+
+
+async def served_once(world: Scripted) -> Link:
+    """A connection on which one call was answered, and which is kept."""
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(world.call)
+        link = await world.accepted()
+        await link.receive()
+        await link.send(OK)
+    return link
+
+
+class Endings(unittest.TestCase):
+    def play(self, test: Callable[[Scripted], Awaitable[None]]) -> None:
+        async def run() -> None:
+            with anyio.fail_after(LIMIT * 2):
+                world = Scripted()
+                await test(world)
+                world.listener.close()
+
+        anyio.run(run)
+
+    def test_a_close_that_crosses_the_write(self) -> None:
+        """The endpoint closes a kept connection after it was looked at and before the call is written: a reset that may
+        have run, and that says nothing of the endpoint."""
+        async def test(world: Scripted) -> None:
+            link = await served_once(world)
+            request = ClientConnection.request
+
+            async def crossed(connection: ClientConnection, *rest: Any) -> Any:
+                link.close()
+                return await request(connection, *rest)
+
+            with mock.patch.object(ClientConnection, "request", crossed):
+                result = await world.call()
+            self.assertIn(result.outcome, (Outcome.RESET, Outcome.CONNECT_FAILED))
+            self.assertEqual((result.stale, world.kept), (True, 0))
+
+        self.play(test)
+
+    def test_an_answer_in_the_turn_in_which_the_time_is_up(self) -> None:
+        """Its bytes are in the kernel when the attempt is timed out or cancelled: a 200 is believed."""
+        for ends in ("time", "cancel"):
+            for sent, outcome in ((OK, Outcome.OK), (OK[:14], Outcome.OK), (b"HTTP/1.1 500 E\r\n\r\n", None)):
+                with self.subTest(ends=ends, sent=sent):
+                    async def test(world: Scripted, ends: str = ends, sent: bytes = sent,
+                                   outcome: Outcome | None = outcome) -> None:
+                        scope, reached = anyio.CancelScope(), anyio.Event()
+                        receive = Link.receive
+
+                        async def held(link: Link) -> bytes:  # the loop does not come to reading it any more
+                            if link is server:
+                                return await receive(link)
+                            reached.set()
+                            await anyio.sleep(LIMIT)
+                            return b""
+
+                        server: Link | None = None
+                        with mock.patch.object(Link, "receive", held):
+                            async with anyio.create_task_group() as tasks:
+                                tasks.start_soon(world.call, 200 if ends == "time" else LIMIT * 1e3, scope)
+                                server = await world.accepted()
+                                await reached.wait()
+                                await server.send(sent)
+                                if ends == "cancel":
+                                    scope.cancel()
+                        assert world.result
+                        late = Outcome.TIMEOUT if ends == "time" else Outcome.CANCELLED
+                        self.assertEqual(world.result.outcome, outcome or late)
+                        self.assertEqual(world.kept, 0)
+                        server.close()
+
+                    self.play(test)
+
+    def test_a_200_whose_rest_never_comes(self) -> None:
+        async def test(world: Scripted) -> None:
+            with mock.patch("calicohitch.net.http._REST_S", 0.05):
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(world.call)
+                    link = await world.accepted()
+                    await link.receive()
+                    await link.send(OK[:20])
+            assert world.result
+            self.assertEqual((world.result.outcome, world.kept), (Outcome.OK, 0))
+            link.close()
+
+        self.play(test)
+
+    def test_a_late_200_after_the_next_attempt_has_begun_answers_nothing(self) -> None:
+        async def test(world: Scripted) -> None:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(world.call, 100)
+                first = await world.accepted()
+                await first.receive()
+            assert world.result
+            self.assertEqual(world.result.outcome, Outcome.TIMEOUT)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(world.call)
+                second = await world.accepted()
+                await second.receive()
+                self.assertEqual(await first.receive(), b"")  # the relay has ended its side: nobody hears it
+                await first.send(OK)
+                await second.send(b"HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n")
+            self.assertEqual(world.result.outcome, Outcome.ERROR)
+            first.close()
+            second.close()
+
+        self.play(test)
+
+    def test_a_pool_that_is_closed_during_a_call_does_not_get_its_connection_back(self) -> None:
+        """By a drain, or by the decisions' word that idle connections are too many there."""
+        async def test(world: Scripted) -> None:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(world.call)
+                link = await world.accepted()
+                await link.receive()
+                world.endpoints.close_idle(1)
+                await link.send(OK)
+            assert world.result
+            self.assertEqual((world.result.outcome, world.kept), (Outcome.OK, 0))
+            self.assertEqual(await link.receive(), b"")
+            link.close()
+            again = await served_once(world)  # a later call keeps its connection
+            self.assertEqual((world.kept, world.endpoints._closed, world.endpoints._out), (1, {}, {}))
+            again.close()
+
+        self.play(test)
+
+
+class Drains(unittest.TestCase):
+    @in_world
+    async def test_a_drain_during_a_call_leaves_no_connection(self, world: World) -> None:
+        release = anyio.Event()
+
+        async def hold(_request: Any) -> Any:
+            await release.wait()
+            return 200, {}, b""
+
+        world.endpoint.handle = hold
+        async with world.relay() as relay:
+            await world.hand_in("a1")
+            await until(lambda: world.endpoint.requests)
+            world.change(member(str(world.endpoint.address), phase="Terminating"))
+            await until(lambda: not relay._sender._endpoints)
+            release.set()
+            await until(lambda: relay.idle)
+            self.assertEqual(relay._endpoints._leases.held[Holder.CALLS], 0)
+            self.assertEqual(world.notices, [])
+
+    @in_world
+    async def test_a_told_wait_during_another_call_is_kept_by_both(self, world: World) -> None:
+        release, answers = anyio.Event(), [(429, {"Wait-Ms": "400"}, b"")]
+
+        async def first_waits(_request: Any) -> Any:
+            if answers:
+                return answers.pop()
+            await release.wait()
+            return 200, {}, b""
+
+        world.endpoint.handle = first_waits
+        async with world.relay() as relay:
+            await world.hand_in("a1")
+            await until(lambda: relay._waits)
+            told = world.clock.now()
+            await world.hand_in("a2")
+            release.set()
+            await until(lambda: relay.idle)
+            self.assertGreaterEqual(world.clock.now(), told + 300)
+        self.assertEqual(len(world.endpoint.requests), 3)
+
+
+if __name__ == "__main__":
+    unittest.main()
