--- a/calicohitch/config/places.py
+++ b/calicohitch/config/places.py
@@ -54,7 +54,8 @@
         """A number within bounds, whole or not as it is told; an integer stays one."""
         must = f"a number from {least:g} to {most:g}" if most < math.inf else f"a number of at least {least:g}"
         value = self._get(key, default, must)
-        if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value <= most:
+        if (isinstance(value, bool) or not isinstance(value, int | float) or not least <= value <= most
+                or not math.isfinite(value)):
             raise self._fail(key, must, value)
         return value
 
@@ -98,7 +99,7 @@
     def numbers(self, key: str, least: float = 0) -> tuple[Any, ...]:
         values = self.list(key)
         for n, value in enumerate(values):
-            if isinstance(value, bool) or not isinstance(value, int | float) or value < least:
+            if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value < math.inf:
                 raise self._fail(f"{key}[{n}]", f"a number of at least {least:g}", value)
         return tuple(values)
 
--- a/calicohitch/config/settings.py
+++ b/calicohitch/config/settings.py
@@ -6,7 +6,9 @@
 from typing import Any
 
 from .. import interface as i
-from .places import Place
+from .places import Place, PlaceError, shown
+
+_LONGEST_NAME = 256  # bytes of a class's name, which each record of a message holds
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,8 +30,15 @@
 def names_from(info: dict[str, Any]) -> Names:
     """The names in the settings; the decisions know these things by their positions."""
     told = Place(info, "settings")
+    classes: list[str] = []
+    for item in told.each("services", needed=True):
+        name = item.text("name")
+        if not 1 <= len(name.encode()) <= _LONGEST_NAME or name in classes:
+            raise PlaceError(f"{item.where}.name must be a text of its own of 1 to {_LONGEST_NAME} bytes, "
+                             f"not {shown(name)}")
+        classes.append(name)
     return Names(
-        classes=tuple(item.text("name") for item in told.each("services", needed=True)),
+        classes=tuple(classes),
         zones=tuple(map(str, told.list("zones"))),
         kinds=tuple(map(str, told.list("flavors"))),
     )
--- a/calicohitch/intake/submission.py
+++ b/calicohitch/intake/submission.py
@@ -5,6 +5,7 @@
 import re
 from collections.abc import Mapping
 from dataclasses import dataclass
+from urllib.parse import unquote
 
 from ..core.seam import Refusal, Submission
 from ..net.http import Headers, Request
@@ -25,6 +26,8 @@
     """The message that a client's request hands in."""
     headers = request.headers
     class_name = request.path.split("/")[1] if request.path.startswith("/") else ""
+    if class_name not in classes:  # a name may hold what a path cannot as it is
+        class_name = unquote(class_name)
     if class_name not in classes:
         raise BadRequest(404, f"there is no class {class_name!r}")
     if request.method != "POST":
