--- a/calicohitch/net/relay.py
+++ b/calicohitch/net/relay.py
@@ -451,6 +451,8 @@
             logger.error("journal: {}", err)
             return False
         message.written.add(number)
+        if not self.came_back.over:
+            self.came_back.tried(entry.number)
         return True
 
     async def _call(self, message: _Open, attempt: int, action: i.Send, member: Member | None,
@@ -618,7 +620,8 @@
         arrived = self._taken_up(entries)
         if entries:
             logger.info("from the journal: {} messages, {} notices", len(arrived), len(self._notices))
-        self.came_back.folder(now, {told.message: told.dest for told in arrived}, len(self._journal.damage))
+        self.came_back.folder(now, {told.message: told.dest for told in arrived}, len(self._journal.damage),
+            [told.message for told in arrived if not any(was.may_have_run for was in told.earlier)])
         self.feed(*arrived)
 
     def _taken_up(self, entries: Sequence[Entry]) -> list[i.Arrived]:
--- a/calicohitch/recovery/phases.py
+++ b/calicohitch/recovery/phases.py
@@ -2,14 +2,16 @@
 
 A return begins with the process and passes, in any order but for the first two and the last: `up` (the program runs),
 `folder` (the journal is read), `list` (discovery was heard), `limits` (every destination that restored work waits for
-has told its limit, or answered without one), `backlog` (no restored message is open), and `full`, when all of these
-have passed. Each is told once, with its time since `up`. A return that takes longer than `LONGEST_MS` is told as it
-stands, and not followed any further.
+has told its limit, or answered without one), `backlog` (no restored message is open: of those that were owed a first
+call so many were `tried`, and so many ended `unseen`), and `full`, when all of these have passed. Each is told once,
+with its time since `up`. A return that takes longer than `LONGEST_MS` is told as it stands, and not followed any
+further.
 """
 
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Collection
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -53,6 +55,8 @@
         self._passed: dict[Phase, Passed] = {}
         self._news: list[Passed] = []
         self._restored: set[int] = set()
+        self._untried: set[int] = set()  # restored messages that were owed a call, and had none yet
+        self._tried = self._unseen = 0  # how many of those had one, and were given up without
         self._untold: set[int] = set()  # destinations of restored work without a limit or an answer
         self._second = 0
         self._counts: Counter[Did] = Counter()
@@ -61,12 +65,19 @@
         self.told = False  # all of it, to the last second
         self._pass(Phase.UP, up)
 
-    def folder(self, now: float, restored: dict[int, int], damaged: int) -> None:
-        """The journal is read: restored messages with their destinations, and damaged stretches."""
-        self._restored, self._untold = set(restored), set(restored.values())
-        self._pass(Phase.FOLDER, now, restored=len(restored), damaged=damaged)
+    def folder(self, now: float, restored: dict[int, int], damaged: int, untried: Collection[int] = ()) -> None:
+        """The journal is read: restored messages with their destinations, those of them that may not have been called
+        yet, and damaged stretches."""
+        self._restored, self._untold, self._untried = set(restored), set(restored.values()), set(untried)
+        self._pass(Phase.FOLDER, now, restored=len(restored), damaged=damaged, untried=len(untried))
         self._look(now)
 
+    def tried(self, number: int) -> None:
+        """A call of a message is made."""
+        if number in self._untried:
+            self._untried.discard(number)
+            self._tried += 1
+
     def listed(self, now: float) -> None:
         """Discovery was heard."""
         self._pass(Phase.LIST, now)
@@ -83,6 +94,9 @@
         if self.over:
             return
         self._roll(now)
+        if number in self._untried and what is Did.REFUSED:
+            self._untried.discard(number)
+            self._unseen += 1
         if number in self._restored:
             self._restored.discard(number)
             self._counts[Did.RESTORED] += 1
@@ -106,7 +120,7 @@
         if Phase.FOLDER not in self._passed:
             return
         if not self._restored:
-            self._pass(Phase.BACKLOG, now)
+            self._pass(Phase.BACKLOG, now, tried=self._tried, unseen=self._unseen)
             self._untold.clear()  # nothing waits for them any more
         if not self._untold:
             self._pass(Phase.LIMITS, now)
--- a/tests/orders/test_restart.py
+++ b/tests/orders/test_restart.py
@@ -141,6 +141,9 @@
             (2_500, 24_000, 24_000, 14, True),
             (1_000, 1_000, 400, 8, True),
             (1_000, 5_000, 300, 12, False),
+            (4_000, 20_000, 1_500, 12, True),
+            (800, 6_000, 200, 12, True),
+            (3_500, 3_500, 1_000, 8, False),
             (24_000, 24_000, 9_000, 14, False),
         ]
         for effect in EFFECTS:
@@ -148,13 +151,20 @@
                 with self.subTest(effect=effect, case=case):
                     play(lambda world, case=case, effect=effect: self._count(world, effect, *case))  # type: ignore[misc]
 
+    def test_so_does_what_a_planned_end_left(self) -> None:
+        for effect in EFFECTS:
+            with self.subTest(effect=effect):
+                play(lambda world, effect=effect: self._count(  # type: ignore[misc]
+                    world, effect, 2_500, 24_000, 600, 12, False, True))
+
     async def _count(
-        self, world: World, effect: str, aim: int, deadline: int, left: int, count: int, listed: bool
+        self, world: World, effect: str, aim: int, deadline: int, left: int, count: int, listed: bool,
+        planned: bool = False,
     ) -> None:
         world.clock = ManualClock()
         told = settings(effect, aim, deadline)
-        async with killed_with(world, count, told):
-            pass
+        async with killed_with(world, count, told) as relay:
+            relay.stopping = planned  # and is killed before what it has is over
         world.clock.advance(deadline - left)
         known = None
         if not listed:
@@ -163,8 +173,10 @@
         async with world.relay(settings=told, known=known) as relay:
             await until(lambda: len(world.endpoint.requests) + len(world.notices) >= count)
             await until(lambda: not relay._open)
+            counted = relay.came_back
         tried = {request.headers[b"req-id"].decode() for request in world.endpoint.requests}
         self.assertEqual((len(tried), world.notices), (count, []))
+        self.assertEqual((counted._tried, counted._unseen), (count, 0))  # as the log tells
 
     def test_newcomers_are_turned_away_at_the_door_before_any_of_it_is_trimmed(self) -> None:
         async def test(world: World) -> None:
