--- a/calicohitch/net/relay.py
+++ b/calicohitch/net/relay.py
@@ -329,11 +329,14 @@
             self._feeding = False
 
     def _decide(self, events: list[i.Event]) -> list[i.Action]:
+        before = self._sender.decided()
         try:
             return self._sender.handle(to_micros(self._clock.now()), events)
         except Exception:  # guards the open messages: a relay that ends can do nothing for them
             logger.exception("the decisions broke at {}", events)
-            return []
+            # What they had decided they count on: a call that is not made would hold its slot for ever.
+            decided = self._sender.decided()
+            return [] if decided is before else decided
 
     async def _keep(self) -> None:
         """Tell how the return goes, and store what the next life had better know."""
--- a/calicohitch/rules.py
+++ b/calicohitch/rules.py
@@ -110,6 +110,9 @@
             self._actions.append(Tell(None, note))
         return self._actions
 
+    def decided(self) -> list[Action]:  # in the last turn, or so far in one that broke
+        return self._actions
+
     def _arrived(self, told: Arrived) -> None:
         cls = self._set.classes[told.class_index]
         inside = self._allowances.take(told.tenant, self._now)
@@ -239,8 +242,8 @@
         return min((e.route.mean or unknown for e in dest.ends.values()), default=unknown)
 
     def _shortest(self, dest: Destination, message: Message) -> float:
-        """The time that a call needs: with less than that left it is not made. What an earlier life took on is
-        owed its call, and a guess is no ground to give it up unseen. Harm: calls that end after their time."""
+        """The time that a call needs: with less left it is not made. What an earlier life took on is owed
+        its call, and a guess is no ground to give it up unseen. Harm: calls that end after their time."""
         return max(1.0, self._latency(dest, message.cls, not message.owed))
 
     def has_room(self) -> bool:
--- a/tests/orders/test_restart.py
+++ b/tests/orders/test_restart.py
@@ -238,6 +238,17 @@
 
         play(test)
 
+    def test_what_was_decided_before_the_decisions_broke_is_carried_out(self) -> None:
+        async def test(world: World) -> None:
+            async with world.relay() as relay:
+                with mock.patch.object(relay._sender, "_arm", side_effect=IndexError):
+                    await world.hand_in("m0", path="/scores")
+                    await until(lambda: world.endpoint.requests)
+                    await until(lambda: relay.idle)
+                self.assertEqual((relay._sender._slots_taken, world.notices), (0, []))
+
+        play(test)
+
     def test_an_outcome_that_cannot_be_written_is_told_all_the_same(self) -> None:
         async def test(world: World) -> None:
             world.answers = [(500, {}, b"")]
