An answer that is whole when its attempt ends counts, with the wait that it tells

Each order is made to happen by a test over real connections, and each failed on the tree before: - a 429 with Wait-Ms in the kernel in the turn in which its attempt timed out or was cancelled was thrown away, though its wait runs from its writing: "(<Outcome.CANCELLED: 1>, 0.0) != (<Outcome.FULL: 8>, 400)". look_once_more read 64 bytes and believed a 200 alone. Now a whole answer is believed, also one of which h11 has read a part, with a 1xx in front, or with a close; half of one is not, and bytes that cannot be read still end as the time-out or the cancel. - a call that turned out not to be wanted took look_once_more to its kept connection, since that remembered the last call as sent: half an answer that nobody asked for was eaten, and the connection went back to its pool, where the rest would answer the next call. test_bytes_that_come_while_a_call_is_not_made_after_all. - a record that a failing disk refused by OSError on a kept connection counted as a reset that may have run, and ended an unsafe message unsent: "Lists differ: [b'm0'] != [b'm0', b'm1']". What breaks before the request is no call. - events behind one at which the decisions broke were lost, and an outcome among them held its slot: "1 != 0". The rest of the turn is told now; where nothing was taken the first is left out, so that decisions that always break end. Ruled out: a time-out in the turn in which its answer was read already (anyio lets the reader finish); a Send after its timer; resends by the kept connection.

--- a/calicohitch/net/endpoints.py
+++ b/calicohitch/net/endpoints.py
@@ -110,7 +110,7 @@
         pool = (endpoint, address)
         connection: ClientConnection | None = None
         response: Response | None = None
-        unsent = stale = False
+        unsent = made = stale = False
         self._out[endpoint] = self._out.get(endpoint, 0) + 1
         closed_before = self._closed.get(endpoint, 0)
         deadline = anyio.current_time() + call.timeout / 1e3
@@ -126,8 +126,11 @@
                     return Result(Outcome.MOOT)
                 if call.marks:
                     follow(call.marks, connection, stale, self._clock)
+                made = True  # what a kept connection remembers is of this call from here on
                 response = await connection.request("POST", "/v1/messages", headers_of(call, address), call.body)
         except OSError:
+            if connection is not None and not made:  # `wanted` broke: no fault of the endpoint's
+                return Result(Outcome.MOOT)
             never = connection is None or not connection.sent
             stale = stale and connection is not None and not connection.answered
             if stale and connection is not None:
@@ -138,16 +141,16 @@
         finally:
             if connection is not None:
                 connection.progress = None
-                if response is None and connection.sent:
-                    connection.look_once_more()  # an answer may have come in the turn in which the time was up
                 wanted_still = self._closed.get(endpoint, 0) == closed_before
-                self._give_back(pool, connection, wanted_still and (unsent or response is not None))
+                ended_well = wanted_still and (unsent or response is not None)
+                if made and response is None and connection.sent:
+                    # It may have come in the turn in which the time was up. A wait that it tells runs from its writing.
+                    response = connection.look_once_more()
+                self._give_back(pool, connection, ended_well)
             self._out[endpoint] -= 1
             if not self._out[endpoint]:
                 del self._out[endpoint]
                 self._closed.pop(endpoint, None)
-        if response is None and connection is not None and connection.says_200:
-            response = Response(200, {})  # the rest was still to come
         if response is not None:
             if call.marks:
                 call.marks.status = response.status
--- a/calicohitch/net/http.py
+++ b/calicohitch/net/http.py
@@ -185,7 +185,7 @@
     def __init__(self, link: Link, max_body: int = MAX_BODY, needs_body: bool = False) -> None:
         self._link, self._max_body, self._needs_body = link, max_body, needs_body
         self._clean = True  # between requests, with nothing left of the last response
-        self._came = b""  # of a response that h11 has to read
+        self._came = b""  # of the present response: of one that is looked at again all, else its first part
         self._start = b""  # of the present response, after any 1xx
         self.sent = False  # whether the last byte of the present request was handed to the kernel
         self.idle_since = 0.0
@@ -212,10 +212,23 @@
         """Some part of the present response is here."""
         return bool(self._start)
 
-    def look_once_more(self) -> None:
-        """Read what is there of an answer that is not waited for any more; only its first line can count."""
-        if len(self._start) < _FIRST_LINE:
-            self._start += self._link.receive_some()[: _FIRST_LINE - len(self._start)]
+    def look_once_more(self) -> Response | None:
+        """What is there of an answer that is not waited for any more: the answer, where it is whole or says 200."""
+        self._took(self._link.receive_some())
+        http = h11.Connection(h11.CLIENT)
+        http.send(h11.Request(method="POST", target="/", headers=[(b"Host", b"-"), (b"Content-Length", b"0")]))
+        http.send(h11.EndOfMessage())
+        http.receive_data(self._came)
+        head: h11.Response | None = None
+        with suppress(h11.RemoteProtocolError):
+            while (event := http.next_event()) is not h11.NEED_DATA and not isinstance(event, h11.ConnectionClosed):
+                if isinstance(event, h11.InformationalResponse):
+                    self._start = http.trailing_data[0][:_FIRST_LINE]
+                elif isinstance(event, h11.Response):
+                    head = event
+                elif isinstance(event, h11.EndOfMessage) and head is not None:
+                    return Response(head.status_code, dict(head.headers))
+        return Response(200, {}) if self.says_200 else None
 
     def close(self) -> None:
         self._link.close()
@@ -223,7 +236,7 @@
     async def request(self, method: str, target: str, headers: Headers, body: bytes = b"") -> Response:
         """The server's response. OSError where there is none, or none that can be read; a 200 is believed by
         its first line alone, unless the body is what was asked for."""
-        self.sent, self._start, self._clean = False, b"", False
+        self.sent, self._start, self._came, self._clean = False, b"", b"", False
         if body or method == "POST":
             headers = [*headers, (b"Content-Length", b"%d" % len(body))]
         lines = [b"%s: %s\r\n" % header for header in headers]
@@ -235,7 +248,9 @@
         if self.progress:
             self.progress(False)
         try:
-            return await self._common_response() or await self._response(method, target, headers, body)
+            response = await self._common_response() or await self._response(method, target, headers, body)
+            self._came = b""  # an idle connection holds nothing
+            return response
         except (h11.RemoteProtocolError, OSError) as err:
             if self.says_200:
                 return Response(200, {})
@@ -243,7 +258,7 @@
 
     async def _common_response(self) -> Response | None:
         """The response, if it comes whole and in its usual form; else what came of it is left in `_came`."""
-        self._came = data = await self._receive()
+        data = await self._receive()
         found = answer.read(data, self._max_body) if data else Look.UNCOMMON
         if isinstance(found, Look):
             return None
@@ -254,9 +269,14 @@
         data = await self._link.receive()
         if self.progress:
             self.progress(True)
-        self._start += data[: _FIRST_LINE - len(self._start)]
+        self._took(data)
         return data
 
+    def _took(self, data: bytes) -> None:
+        self._start += data[: _FIRST_LINE - len(self._start)]
+        if not self._came or not self._needs_body:  # of what is long the first part is enough: nobody looks again
+            self._came += data
+
     async def _response(self, method: str, target: str, headers: Headers, body: bytes) -> Response:
         """The response by h11, which is told of the request as though it had sent it."""
         http = h11.Connection(h11.CLIENT)
--- a/calicohitch/net/relay.py
+++ b/calicohitch/net/relay.py
@@ -329,11 +329,13 @@
             self._feeding = False
 
     def _decide(self, events: list[i.Event]) -> list[i.Action]:
-        before = self._sender.decided()
+        before, each = self._sender.decided(), iter(events)
         try:
-            return self._sender.handle(to_micros(self._clock.now()), events)
+            return self._sender.handle(to_micros(self._clock.now()), each)
         except Exception:  # guards the open messages: a relay that ends can do nothing for them
             logger.exception("the decisions broke at {}", events)
+            behind = list(each)  # the one that broke it: an outcome there would hold its slot
+            self._events.extendleft(reversed(behind if len(behind) < len(events) else behind[1:]))
             # What they had decided they count on: a call that is not made would hold its slot for ever.
             decided = self._sender.decided()
             return [] if decided is before else decided
--- a/calicohitch/rules.py
+++ b/calicohitch/rules.py
@@ -9,7 +9,7 @@
 import math
 import random
 from collections import defaultdict, deque
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from heapq import heapify, heappop, heappush, merge
 from itertools import chain, islice
 from typing import Any
@@ -92,7 +92,7 @@
         names = [report.name for report in settings.reports]
         self._new_route: Callable[[], Route] = lambda: Route(self._now, share_of(settings.couriers, names))
 
-    def handle(self, now: int, events: Sequence[Event]) -> list[Action]:
+    def handle(self, now: int, events: Iterable[Event]) -> list[Action]:
         """Take what was seen at `now`; return what to do about it."""
         self._now, self._actions = now, []
         take: dict[type, Callable[[Any], None]] = {
--- a/tests/orders/test_attempts.py
+++ b/tests/orders/test_attempts.py
@@ -19,6 +19,7 @@
 from calicohitch.net.http import ClientConnection, Link, listen
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+WAIT = b"HTTP/1.1 429 Too Many Requests\r\nWait-Ms: 400\r\nContent-Length: 0\r\n\r\n"
 
 
 def in_world(test: Callable[..., Awaitable[None]]) -> Callable[[unittest.TestCase], None]:
@@ -34,9 +35,10 @@
         self.endpoints = Endpoints(Clock(), (), 10_000, 1_500, Leases(8, {}))
         self.result: Result | None = None
 
-    async def call(self, timeout: float = LIMIT * 1e3, scope: anyio.CancelScope | None = None) -> Result:
+    async def call(self, timeout: float = LIMIT * 1e3, scope: anyio.CancelScope | None = None,
+                   wanted: Callable[[], bool] = lambda: True) -> Result:
         told = Call("a1", None, b"x", timeout)
-        self.result = await self.endpoints.call(1, self.address, told, scope or anyio.CancelScope(), lambda: True)
+        self.result = await self.endpoints.call(1, self.address, told, scope or anyio.CancelScope(), wanted)
         return self.result
 
     async def accepted(self) -> Link:
@@ -87,12 +89,19 @@
         self.play(test)
 
     def test_an_answer_in_the_turn_in_which_the_time_is_up(self) -> None:
-        """Its bytes are in the kernel when the attempt is timed out or cancelled: a 200 is believed."""
+        """Its bytes are in the kernel when the attempt is timed out or cancelled: what is whole is believed, a wait
+        that it tells above all, since that runs from its writing; of the rest a first line of 200."""
+        cases = ((OK, Outcome.OK, 0), (OK[:14], Outcome.OK, 0), (b"HTTP/1.1 500 E\r\n\r\n", None, 0),
+                 (WAIT, Outcome.FULL, 400), (WAIT[:-1], None, 0), (WAIT + b"x", Outcome.FULL, 400),
+                 (WAIT.replace(b"Content", b"Connection: close\r\nContent"), Outcome.FULL, 400),
+                 (b"HTTP/1.1 100 Continue\r\n\r\n" + WAIT, Outcome.FULL, 400),
+                 (b"HTTP/1.1 503 S\r\nContent-Length: 0\r\n\r\n", Outcome.FULL, 0),
+                 (b"HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n", Outcome.ERROR, 0), (b"spoilt\r\n\r\n", None, 0))
         for ends in ("time", "cancel"):
-            for sent, outcome in ((OK, Outcome.OK), (OK[:14], Outcome.OK), (b"HTTP/1.1 500 E\r\n\r\n", None)):
+            for sent, outcome, wait in cases:
                 with self.subTest(ends=ends, sent=sent):
                     async def test(world: Scripted, ends: str = ends, sent: bytes = sent,
-                                   outcome: Outcome | None = outcome) -> None:
+                                   outcome: Outcome | None = outcome, wait: float = wait) -> None:
                         scope, reached = anyio.CancelScope(), anyio.Event()
                         receive = Link.receive
 
@@ -114,12 +123,61 @@
                                     scope.cancel()
                         assert world.result
                         late = Outcome.TIMEOUT if ends == "time" else Outcome.CANCELLED
-                        self.assertEqual(world.result.outcome, outcome or late)
+                        self.assertEqual((world.result.outcome, world.result.wait), (outcome or late, wait))
                         self.assertEqual(world.kept, 0)
                         server.close()
 
                     self.play(test)
 
+    def test_the_rest_of_an_answer_in_the_turn_in_which_the_time_is_up(self) -> None:
+        """Its beginning was read before, by h11."""
+        async def test(world: Scripted) -> None:
+            half, reached, receive = anyio.Event(), anyio.Event(), Link.receive
+
+            async def held(link: Link) -> bytes:
+                if link is server:
+                    return await receive(link)
+                if half.is_set():
+                    reached.set()
+                    await anyio.sleep(LIMIT)
+                half.set()
+                return await receive(link)
+
+            server: Link | None = None
+            with mock.patch.object(Link, "receive", held):
+                async with anyio.create_task_group() as tasks:
+                    scope = anyio.CancelScope()
+                    tasks.start_soon(world.call, LIMIT * 1e3, scope)
+                    server = await world.accepted()
+                    await server.send(WAIT[:40])
+                    await reached.wait()
+                    await server.send(WAIT[40:])
+                    scope.cancel()
+            assert world.result
+            self.assertEqual((world.result.outcome, world.result.wait), (Outcome.FULL, 400))
+            server.close()
+
+        self.play(test)
+
+    def test_bytes_that_come_while_a_call_is_not_made_after_all(self) -> None:
+        """Half an answer that nobody asked for comes on a kept connection just when its call turns out not to be
+        wanted. The connection is not kept: the rest of it would answer the next call."""
+        async def test(world: Scripted) -> None:
+            link = await served_once(world)
+            (kept,) = [idle[-1] for idle in world.endpoints._idle.values()]
+
+            def unwanted() -> bool:
+                link._sock.send(OK[:20])
+                while kept._link.is_quiet():
+                    pass
+                return False
+
+            result = await world.call(wanted=unwanted)
+            self.assertEqual((result.outcome, world.kept), (Outcome.MOOT, 0))
+            link.close()
+
+        self.play(test)
+
     def test_a_200_whose_rest_never_comes(self) -> None:
         async def test(world: Scripted) -> None:
             with mock.patch("calicohitch.net.http._REST_S", 0.05):
--- a/tests/orders/test_restart.py
+++ b/tests/orders/test_restart.py
@@ -229,6 +229,57 @@
 
         play(test)
 
+    def test_a_record_that_a_failing_disk_refuses_is_no_call_that_may_have_run(self) -> None:
+        """On a kept connection, whose last call was sent whole."""
+        async def test(world: World) -> None:
+            told = settings("unsafe")
+            async with world.relay(settings=told) as relay:
+                await world.hand_in("m0")
+                await until(lambda: relay.idle)
+                record, failed = relay._journal.attempt, []
+
+                def once(*rest: Any) -> None:
+                    if not failed:
+                        failed.append(rest)
+                        raise OSError(5, "Input/output error")
+                    record(*rest)
+
+                with mock.patch.object(relay._journal, "attempt", once):
+                    await world.hand_in("m1")
+                    await until(lambda: relay.idle)
+            self.assertEqual([r.headers[b"req-id"] for r in world.endpoint.requests], [b"m0", b"m1"])
+            self.assertEqual((len(failed), world.notices), (1, []))
+
+        play(test)
+
+    def test_events_behind_one_at_which_the_decisions_broke_are_told(self) -> None:
+        """An outcome among them gives its slot back."""
+        async def test(world: World) -> None:
+            release = anyio.Event()
+
+            async def hold(_request: Any) -> Any:
+                await release.wait()
+                return 200, {}, b""
+
+            world.endpoint.handle = hold
+            async with world.relay() as relay:
+                await world.hand_in("m0", path="/scores")
+                await until(lambda: world.endpoint.requests)
+                feed, broken = relay.feed, i.Withdrawn(98)
+
+                def behind(*events: i.Event) -> None:
+                    feed(broken, *events)
+
+                def breaks(event: i.Withdrawn) -> None:
+                    raise IndexError
+
+                with (mock.patch.object(relay._sender, "_withdrawn", breaks), mock.patch.object(relay, "feed", behind)):
+                    release.set()
+                    await until(lambda: relay.idle)
+                    self.assertEqual(relay._sender._slots_taken, 0)
+
+        play(test)
+
     def test_a_send_of_a_message_that_is_not_there_gives_its_slot_back(self) -> None:
         async def test(world: World) -> None:
             async with world.relay() as relay:
