A discovery that is behind brings nobody back who was told to go

Seen by tests over real connections on the tree before: - SIGHUP moved discovery to one whose list was older: an endpoint that drained and one that was gone were ready again ("202 != 503"). `Directory.read` took any whole list as the truth. Now what is older than the newest list read brings nobody back under the start at which it was told to go; drains and absences in it are believed. A discovery that stays behind for 6.5 s has lost its own list, and is read anew. - a change of an older revision was read by the directory and not told to the decisions, which went on sending to an endpoint that the directory had forgotten ("{1: Endpoint(...)} != {}"): calls that were never made used tries up. - members that are no list ({} or a word) made everybody gone ("ListError not raised"), figures without an end broke the watch off ("OverflowError: cannot convert float infinity to integer") and an endless size was believed, as was an endless nest of brackets (RecursionError). All are failures to read now, of the line or of the list. Ruled out: the list of an earlier life at a start (revisions are compared); deltas that cross a move (told as a move).

--- a/calicohitch/net/discovery.py
+++ b/calicohitch/net/discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from typing import Any
@@ -19,6 +20,8 @@
 from .http import KeptConnection, Moved
 
 _MAX_LIST = 16 << 20
+_CATCHES_UP_S = 6.5  # news counts as told after 6 s: a discovery that is behind for longer has lost its own
+_MOST_LEFT = 4_096  # endpoints of which it is remembered that they were told to go
 _PHASES = {"Ready": Phase.READY, "Terminating": Phase.DRAINING, "Gone": Phase.GONE}
 
 
@@ -33,6 +36,7 @@
     version: int
     complete: bool
     entries: tuple[Listed, ...]
+    behind: bool = False  # it is older than what was told before
 
     def told(self, cached: bool = False) -> ListTold:
         kind = ListKind.FULL if self.complete else ListKind.DELTA
@@ -58,6 +62,8 @@
         self._members: dict[int, Member] = {}
         self._last = 0
         self._dests: set[int] = set()
+        self._newest = -1
+        self._left: dict[str, int] = {}  # who was told to drain or to be gone -> its last start, in microseconds
 
     def knows(self, dest: int) -> bool:
         """Whether the list has named an endpoint for a destination; true of all while there is no list."""
@@ -67,25 +73,43 @@
         """What the list last said of an endpoint that is not gone."""
         return self._members.get(endpoint)
 
-    def read(self, told: Any) -> Update:
-        """An answer in discovery's form. A line that cannot be read is left out where it names nobody who is known;
-        who is known stays as it was, since what cannot be read is unknown and not gone. Of such a line the word that
-        its endpoint drains or is gone is believed all the same: it costs less to stop than not to."""
+    def read(self, told: Any, anew: bool = False) -> Update:
+        """An answer in discovery's form. One that is older than what was told comes of a discovery that is behind:
+        nobody whom a newer one told to go comes back by it, unless `anew`: then it is how things are.
+
+        A line that cannot be read is left out where it names nobody who is known; who is known stays as it was, since
+        what cannot be read is unknown and not gone. Of such a line the word that its endpoint drains or is gone is
+        believed all the same: it costs less to stop than not to."""
         try:
-            version, complete, items = int(told["revision"]), bool(told["complete"]), list(told["members"])
-        except (KeyError, TypeError, ValueError) as err:
+            version, complete, items = int(told["revision"]), bool(told["complete"]), told["members"]
+            if not isinstance(items, list):  # of which nothing could be read: nobody is gone by it
+                raise TypeError(f"members is no list but {type(items).__name__}")
+        except (KeyError, TypeError, ValueError, OverflowError) as err:
             raise ListError(f"the list cannot be read: {type(err).__name__}: {err}") from err
+        behind = version < self._newest and not anew
+        if anew:
+            self._left.clear()
+        if not behind:
+            self._newest = version
         entries = []
         for item in items:
             try:
                 member = self._member(item)
-            except (ConfigError, KeyError, TypeError, ValueError, AttributeError) as err:
+            except (ConfigError, KeyError, TypeError, ValueError, OverflowError, AttributeError) as err:
                 logger.warning("a line of the list cannot be read: {}: {} in {}", type(err).__name__, err, item)
                 number = self._numbers.get(str(item.get("id"))) if isinstance(item, dict) else None
                 if number is None:
                     continue
                 member = self._members[number]
+            if member.listed.phase is Phase.READY and self._left.get(member.id) == member.listed.since and behind:
+                if (number := self._numbers.get(member.id)) is None:
+                    continue
+                member = self._members[number]  # which drains
             entries.append(member.listed)
+            if member.listed.phase is Phase.READY:
+                self._left.pop(member.id, None)
+            else:
+                self._goes(member)
             if member.listed.phase is Phase.GONE:
                 self._forget(member.listed.endpoint)
             else:
@@ -95,8 +119,16 @@
         if complete:  # what a whole list does not name is gone
             self._dests = {entry.dest for entry in entries}
             for endpoint in self._members.keys() - {entry.endpoint for entry in entries}:
+                if not behind:  # one that is behind may not know it yet
+                    self._goes(self._members[endpoint])
                 self._forget(endpoint)
-        return Update(version, complete, tuple(entries))
+        return Update(version, complete, tuple(entries), behind)
+
+    def _goes(self, member: Member) -> None:
+        self._left.pop(member.id, None)
+        self._left[member.id] = member.listed.since
+        if len(self._left) > _MOST_LEFT:
+            del self._left[next(iter(self._left))]
 
     def told(self) -> list[dict[str, Any]]:
         """What is known of all endpoints that are not gone, in discovery's form."""
@@ -120,6 +152,8 @@
         if phase is not Phase.READY and number is not None:  # what goes may be told by its id alone
             known = self._members[number]
             return replace(known, listed=replace(known.listed, phase=phase))
+        if not (math.isfinite(weight := float(item.get("size", 1.0))) and weight >= 0):
+            raise ValueError(f"size is {weight}")
         if number is None:
             self._last = number = self._last + 1
         entry = Listed(
@@ -128,7 +162,7 @@
             phase=phase,
             kind=Names.number(self._names.kinds, item.get("flavor")),
             zone=Names.number(self._names.zones, item.get("locality")),
-            weight=float(item.get("size", 1.0)),
+            weight=weight,
             since=to_micros(item.get("up_since_ms", 0)),
             speaks=self._speaks(name, str(item.get("flavor", "")), int(item["cell"])),
         )
@@ -153,6 +187,7 @@
         self._version: int | None = None
         self._at_once = False  # the list at hand may be old
         self._failures = 0
+        self._believed_at: float | None = None  # when a discovery that is behind is one that has lost its own
         self._patience = patience
         self._moved = anyio.Event()  # set by a move
         self.heard = anyio.Event()  # set by the first answer
@@ -169,7 +204,7 @@
     def move(self, address: Address) -> None:
         """Ask for the whole list there, at once; a watch under way at the old address is left, and a pause ended.
         Only for an address that is another."""
-        self._version = None
+        self._version = self._believed_at = None
         self._moved.set()
         self._agent.move(address)
 
@@ -186,7 +221,7 @@
                 # Guards against news that count as told while nobody asks: the old address was left, and the new one
                 # has not failed, so there is nothing to stay away from.
                 self._patience.answered()
-            except (OSError, ListError, ValueError) as err:  # silence is a TimeoutError: an OSError
+            except (OSError, ListError, ValueError, RecursionError) as err:  # silence is a TimeoutError: an OSError
                 if not self._failures:
                     logger.warning("discovery: {}: {}; the list stays as it is", type(err).__name__, err)
                 self._failures += 1
@@ -196,20 +231,26 @@
 
     async def _ask(self) -> None:
         target, wait = "/registry/instances", 0
+        if anew := self._believed_at is not None and anyio.current_time() >= self._believed_at:
+            self._version = None
         if self._version is not None:
             wait = self._patience.wait_ms(self._at_once)
             target = f"{target}?index={self._version}&wait={wait}"
         response = await self._agent.request("GET", target, self._patience.limit_s(wait))
         if response.status != 200:
             raise ListError(f"the answer is {response.status}")
-        update = self._directory.read(json.loads(response.body))
+        update = self._directory.read(json.loads(response.body), anew)
+        if not update.behind:
+            self._believed_at = None
+        elif self._believed_at is None:
+            self._believed_at = anyio.current_time() + _CATCHES_UP_S
+        if update.complete or update.entries:  # always: the directory has read them
+            self._tell(update.told())
         if self._version is not None and update.version < self._version and not update.complete:
             # Guards against a list of an earlier life, or of a discovery that lost its own: nothing new would be told.
             logger.warning("discovery is at revision {} and was at {}: all of its list is asked for", update.version,
                 self._version)
             self._version = None
             return
-        if update.complete or update.entries:
-            self._tell(update.told())
         self._version, self._at_once = update.version, False
         self.heard.set()
--- a/tests/orders/test_list.py
+++ b/tests/orders/test_list.py
@@ -2,20 +2,22 @@
 
 from __future__ import annotations
 
+import json
+import math
 import unittest
 from collections.abc import Awaitable, Callable
 from typing import Any
 from unittest import mock
 
 import anyio
-from world import LIMIT, SETTINGS, World, member, play, until
+from world import LIMIT, SETTINGS, Party, World, member, play, until
 
 from calicohitch.config import Address
 from calicohitch.config.settings import Names
 from calicohitch.core.backoff import Backoff
 from calicohitch.core.patience import WATCH_MS, Patience
 from calicohitch.interface import Phase
-from calicohitch.net.discovery import Directory
+from calicohitch.net.discovery import Directory, ListError
 from calicohitch.net.http import KeptConnection, Moved
 
 FLEETS = (1, 2, 3, 5, 40, 99, 100, 200, 1_000)
@@ -150,6 +152,83 @@
         kept._close()
 
 
+class Behind(unittest.TestCase):
+    """Discovery moves to one that is behind, or that has lost its own: its list is older than what was told."""
+
+    @staticmethod
+    def older(*lines: dict[str, Any]) -> tuple[Party, dict[str, Any]]:
+        told = {"revision": 1, "complete": True, "members": list(lines)}
+
+        async def answer(request: Any) -> Any:
+            if "wait=" in request.query:
+                await anyio.sleep(0.02)
+            return 200, {}, json.dumps(told).encode()
+
+        return Party(answer), told
+
+    @in_world
+    async def test_who_was_told_to_go_does_not_come_back_by_it(self, world: World) -> None:
+        """Neither one that drains nor one that is gone; by a later start of theirs they do."""
+        draining, gone = member(str(world.endpoint.address)), member(str(world.endpoint.address), "s-2", cell=8)
+        behind, told = self.older(draining, gone)
+        world.members = [draining, gone]
+        async with world.relay() as relay, anyio.create_task_group() as tasks:
+            tasks.start_soon(behind.run)
+            world.change(draining | {"phase": "Terminating"})
+            await until(lambda: relay._discovery.version == world.revision)
+            relay.follow(world.config(discovery=str(behind.address)))
+            await until(lambda: len(behind.requests) > 3)
+            self.assertEqual((await world.hand_in("a1")).status, 202)
+            self.assertEqual((await world.hand_in("a2", Envelope="dest=8", Idempotency_Key="k2")).status, 503)
+            asked = len(behind.requests)
+            await until(lambda: len(behind.requests) > asked + 3)
+            self.assertEqual(world.endpoint.requests, [])
+            told |= {"revision": 3, "members": [draining | {"up_since_ms": 5}, gone]}
+            await until(lambda: relay.idle)
+            self.assertEqual((await world.hand_in("a3", Envelope="dest=8", Idempotency_Key="k2")).status, 202)
+            await until(lambda: relay.idle)
+            tasks.cancel_scope.cancel()
+        self.assertEqual((len(world.endpoint.requests), world.notices), (2, []))
+        behind.listener.close()
+
+    @in_world
+    async def test_one_that_stays_behind_is_believed_in_the_end(self, world: World) -> None:
+        ready = member(str(world.endpoint.address))
+        lost, _ = self.older(ready)
+        with mock.patch("calicohitch.net.discovery._CATCHES_UP_S", 0.2):
+            async with world.relay() as relay, anyio.create_task_group() as tasks:
+                tasks.start_soon(lost.run)
+                world.change(ready | {"phase": "Terminating"})
+                await until(lambda: relay._discovery.version == world.revision)
+                relay.follow(world.config(discovery=str(lost.address)))
+                await world.hand_in()
+                await until(lambda: relay.idle)
+                tasks.cancel_scope.cancel()
+        self.assertEqual((len(world.endpoint.requests), world.notices), (1, []))
+        lost.listener.close()
+
+    @in_world
+    async def test_a_change_of_one_that_is_behind_is_told_as_it_was_read(self, world: World) -> None:
+        """The directory has read it: the decisions may not know another list. The whole list, which is asked for then,
+        does not come."""
+        kept, asked = world.platform.handle, anyio.Event()
+
+        async def discovery(request: Any) -> Any:
+            if "index=5" in request.query:
+                lines = [member(str(world.endpoint.address)) | {"phase": "Gone"}]
+                return 200, {}, json.dumps({"revision": 4, "complete": False, "members": lines}).encode()
+            if asked.is_set() or "wait=" in request.query:
+                await anyio.sleep(LIMIT)
+            answer = await kept(request)
+            asked.set()
+            return answer
+
+        world.platform.handle, world.revision = discovery, 5
+        async with world.relay() as relay:
+            await until(lambda: relay._directory.number("s-1") is None)
+            self.assertEqual(relay._sender._endpoints, {})
+
+
 class Lines(unittest.TestCase):
     """A whole list with one line that cannot be read."""
 
@@ -167,13 +246,15 @@
     def test_who_is_known_stays_as_it_was(self) -> None:
         good = member("10.0.0.1:80", "s-1")
         for change in ({"host_port": "nowhere"}, {"host_port": None}, {"phase": "Rady"}, {"phase": None}, {"cell": "x"},
-                       {"size": []}, {"up_since_ms": "yesterday"}):
+                       {"size": []}, {"up_since_ms": "yesterday"}, {"size": math.inf}, {"size": math.nan},
+                       {"size": -1}, {"up_since_ms": math.inf}, {"cell": math.inf},
+                       {"host_port": "10.0.0.2:" + "9" * 5_000}):
             with self.subTest(change=change):
                 bad = member("10.0.0.2:80", "s-2") | change
                 self.assertEqual(self.phases(good, bad), {1: Phase.READY, 2: Phase.READY})
                 known = self.directory.get(2)
                 assert known
-                self.assertEqual(str(known.address), "10.0.0.2:80")
+                self.assertEqual((str(known.address), known.listed.weight), ("10.0.0.2:80", 2.0))
 
     def test_the_word_that_it_drains_is_believed(self) -> None:
         bad = {"id": "s-2", "phase": "Terminating", "host_port": 7, "cell": None, "size": "large"}
@@ -188,6 +269,34 @@
                 self.assertEqual(self.phases(member("10.0.0.1:80", "s-1"), bad), {1: Phase.READY})
                 self.assertIsNone(self.directory.get(2))  # a whole list that does not name it
 
+    def test_a_list_of_another_form_is_no_list(self) -> None:
+        """Nobody is gone by it."""
+        for told in ({"members": {}}, {"members": ""}, {"members": None}, {"revision": math.inf},
+                     {"revision": math.nan}, {"revision": []}):
+            with self.subTest(told=told), self.assertRaises(ListError):
+                self.directory.read(self.whole() | told)
+            self.assertIsNotNone(self.directory.get(2))
+
+    @in_world
+    async def test_an_answer_that_cannot_be_read_is_a_failure_and_breaks_nothing_off(self, world: World) -> None:
+        """Figures without an end, an endless nest, and a word that is none."""
+        spoilt = [b"[" * 100_000, b'{"revision": 1e999, "complete": true, "members": []}', b"\xff\xfe", b"null",
+                  b'{"revision": 9, "complete": true, "members": {}}']
+        kept = world.platform.handle
+
+        async def discovery(request: Any) -> Any:
+            if "wait=" in request.query and spoilt:
+                return 200, {}, spoilt.pop()
+            return await kept(request)
+
+        world.platform.handle = discovery
+        with mock.patch("calicohitch.net.relay.logger.exception") as broke:
+            async with world.relay() as relay:
+                await until(lambda: not spoilt)
+                world.change(member(str(world.endpoint.address), "s-2"))
+                await until(lambda: relay._directory.number("s-2"))
+            self.assertFalse(broke.called)
+
     @in_world
     async def test_over_a_connection_nothing_is_forgotten(self, world: World) -> None:
         async with world.relay() as relay:
