--- a/tests/orders/test_shutdown.py
+++ b/tests/orders/test_shutdown.py
@@ -6,6 +6,7 @@
 import socket
 import subprocess
 import sys
+import tomllib
 import unittest
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -13,7 +14,7 @@
 
 import anyio
 from test_process import ROOT, Program
-from world import LIMIT, World, play, until
+from world import LIMIT, Party, World, play, until
 
 from calicohitch.net import notices
 from calicohitch.net import relay as relay_module
@@ -83,6 +84,41 @@
 
         play(test)
 
+    def test_a_new_configuration_before_the_first_line_of_the_program(self) -> None:
+        """The deployment's own command; the process sends the signal to itself while its interpreter starts, before any
+        line of the relay is read."""
+        async def test(world: World) -> None:
+            program = Program(world)
+            (world.folder / "sitecustomize.py").write_text(
+                "import os, signal, sys\nsys.argv[0] != '-m' or os.kill(os.getpid(), signal.SIGHUP)\n")
+            run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
+            self.assertIn(".venv/bin/python", run)
+            command = run.replace(".venv/bin/python", sys.executable)
+            process = subprocess.Popen(["/bin/sh", "-c", command], cwd=ROOT, stderr=subprocess.DEVNULL,
+                env=program.env | {"PYTHONPATH": str(world.folder)})
+            try:
+                await until(lambda: process.poll() is not None or world.platform.requests)
+                self.assertIsNone(process.returncode)
+                with anyio.fail_after(LIMIT):
+                    while await program.ready() != 200:
+                        await anyio.sleep(0.02)
+                moved = Party(world.platform.handle)
+                program.say({"discovery": str(moved.address)})
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(moved.run)
+                    process.send_signal(signal.SIGHUP)  # and later ones are heard
+                    await until(lambda: moved.requests)
+                    tasks.cancel_scope.cancel()
+                moved.listener.close()
+                process.send_signal(signal.SIGTERM)
+                await until(lambda: process.poll() is not None)
+                self.assertEqual(process.returncode, 0)
+            finally:
+                process.kill()
+                process.wait(LIMIT)
+
+        play(test)
+
     def test_a_signal_after_the_service_ends_nothing_badly(self) -> None:
         async def test(world: World) -> None:
             program = Program(world)
