Where no answer tells a limit, many relays rest longer after a first refusal

Cause: `_full` begins each rest at half a second whatever the number of relays, and learns that refusals use a limit up by its own second tries only, of which one among 200 makes few. Change: `Settings.first_rest`, half a second for each four relays where no answer tells limits, never above three gaps as before. Tests: among_many() is told that answers report limits, which is what its three tests of short rests were about; they are as strict. The model of a fleet fails without the change: the two shares are then the same.

--- a/calicohitch/interface.py
+++ b/calicohitch/interface.py
@@ -164,6 +164,9 @@
     speaks: int = 1  # a bit for each protocol that it takes calls in, the lowest for HTTP/1.1
 
 
+FEW = 4  # couriers
+
+
 @dataclass(frozen=True, slots=True)
 class Settings:
     """All that a courier is told at its start."""
@@ -217,6 +220,12 @@
             if getattr(self.rules, name) < 0:
                 raise ValueError(f"rules.{name} must not be negative")
 
+    def first_rest(self, pause: int) -> float:
+        """The first rest after a refusal, of couriers of whom a few rest for `pause`. Where no answer tells its limit
+        and they are many, all that are refused come again no more often together than `FEW` of them: refused calls may
+        use the limit up."""
+        return pause * (1.0 if self.reports else max(1.0, self.couriers / FEW))
+
     def kind(self, entry: Listed) -> Kind:
         """The kind of a listed endpoint; one that the settings do not tell is an ordinary one."""
         return self.kinds[entry.kind] if entry.kind < len(self.kinds) else Kind()
--- a/calicohitch/rules.py
+++ b/calicohitch/rules.py
@@ -259,7 +259,7 @@
         """All couriers together try no more often than a part of what comes, or a few times a second."""
         return max(TRIAL_MAX, min(REST_GAPS * dest.gap(self._now), self._set.couriers * TRIAL))
 
-    def _rest(self, dest: Destination, run: int, first: int = TRIAL) -> int:
+    def _rest(self, dest: Destination, run: int, first: float = TRIAL) -> int:
         """The pause after so many bad calls in a row, `first` after one."""
         return self._around(min(first * REST_GROWS ** min(max(0, run - 1), 7), self._longest_rest(dest)))
 
@@ -283,7 +283,7 @@
             route.rest(now + wait + route.share.apart(self._random.random()), Hold.PACE)
         elif self._rare(dest):
             dest.crowd += 1
-            first = TRIAL * 2 ** self._choked.get(call.endpoint.told.kind, 0)
+            first = self._set.first_rest(TRIAL) * 2 ** self._choked.get(call.endpoint.told.kind, 0)
             dest.rest(now + wait + self._rest(dest, dest.crowd, first))
         else:
             if call.sent_at > route.cut_at:
--- a/tests/test_many_couriers.py
+++ b/tests/test_many_couriers.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import random
+from collections import deque
+
 import pytest
 from conftest import KEYED, MS, ORDERED, SAFE, UNSAFE, Courier, answers, sends
 
@@ -9,9 +12,12 @@
 from calicohitch.rules import SECOND, Sender
 
 
+TOLD = (i.Report("x0"), i.Report("x1"))
+
+
 def among_many(**changes: object) -> Courier:
     """Its first message for partner 1 comes half a minute after its start."""
-    courier = Courier(**({"couriers": 200, "slots": 4} | changes))
+    courier = Courier(**({"couriers": 200, "slots": 4, "reports": TOLD} | changes))
     courier.list(i.Listed(11, 1), i.Listed(21, 2))
     courier.wait(30 * SECOND)
     return courier
@@ -246,3 +252,42 @@
 def test_accepted_calls_are_counted_for_a_short_while_only(courier: Courier) -> None:
     courier.serve(300)
     assert len(courier.sender._endpoints[11].route.accepted) <= 21  # ten a second
+
+
+def served_share(couriers: int, reports: tuple[i.Report, ...] = ()) -> float:
+    """The share of messages that are delivered by couriers that share a partner's limit, where each refused call uses
+    it up like an accepted one, and a burst of twice the limit for 4 s comes after a calm beginning."""
+    fleet = [Courier(seed=seed, couriers=couriers, reports=reports) for seed in range(couriers)]
+    for courier in fleet:
+        courier.list(i.Listed(11, 1))
+    drawn, window, came, served = random.Random(1), deque[int](), 0, 0
+    limit = couriers // 2  # calls in 2 s
+    for step in range(300):
+        rate = limit / 2 * (2.0 if 100 <= step < 140 else 0.7) / couriers  # messages a second to each
+        for courier in fleet:
+            outcomes: list[i.Event] = []
+            for message, _ in list(courier.out):
+                while window and window[0] < step - 20:
+                    window.popleft()
+                window.append(step)
+                good = len(window) <= limit
+                served += good
+                outcomes.append(courier.outcome(message, i.Outcome.OK if good else i.Outcome.FULL))
+            if drawn.random() < rate / 10:
+                came += 1
+                outcomes.append(courier.arrival(KEYED))
+            courier.wait(100 * MS, *outcomes)
+    return served / came
+
+
+@pytest.mark.parametrize("couriers", [20, 120])
+def test_where_no_answer_tells_the_limit_many_couriers_do_not_use_it_up_by_refused_calls(couriers: int) -> None:
+    """The second is what they do where answers tell limits, and this partner's do not."""
+    assert served_share(couriers) > served_share(couriers, TOLD) + 0.05
+
+
+def test_a_few_couriers_rest_as_ever_where_no_answer_tells_the_limit() -> None:
+    settings = i.Settings(classes=among_many().sender._set.classes, slots=1, open_cap=9, max_attempts=3, couriers=4)
+    assert settings.first_rest(500 * MS) == 500 * MS
+    assert second_try_after(among_many(reports=(), couriers=4), 1) < 1_500 * MS
+    assert second_try_after(among_many(reports=()), 1) > 6_000 * MS
