Half a first line of 200 delivers nothing: a message is over once the whole line is there

Lines: `_SAYS_200` matched once a blank stood behind the 200, and such an answer was believed when the connection broke, when its rest did not come, and, since, when the attempt's time was up. An endpoint that has written half of the line has delivered nothing; the relay closes the connection, the rest is never written, and the message had neither a delivery nor a notice. Now the line has to be whole (up to 256 bytes); half of it may have run, and the class decides. The test that held OK[:14] for delivered said otherwise than the protocol ("a first line with 200"); it is stricter now. Without the mend: "(<Outcome.OK: 0>, 0.0) != (<Outcome.TIMEOUT: 4>, 0)".

--- a/calicohitch/net/http.py
+++ b/calicohitch/net/http.py
@@ -27,9 +27,11 @@
 _READ = 64 << 10
 _MAX_INTERIM = 16  # 1xx responses in front of one that counts
 _REST_S = 0.5  # from a response's head, or from a first line that says 200, to its last byte
-_FIRST_LINE = 64  # bytes of a response that are kept for the reading of its first line
+_FIRST_LINE = 256  # bytes of a response that are kept for the reading of its first line
 _UNSENDABLE = re.compile(rb"[\0\r\n]")
-_SAYS_200 = re.compile(rb"HTTP/1\.\d 200[ \r\n]")
+_BEGINS_200 = re.compile(rb"HTTP/1\.\d 200[ \r\n]")
+# Half a line delivers nothing: the rest of it may never be written.
+_SAYS_200 = re.compile(rb"HTTP/1\.\d 200(?: [^\r\n]*)?\r?\n")
 _LINGER_BYTES = 1 << 20
 _MOST_UNREAD = 16  # reads of what nobody waits for any more, before a close
 
@@ -204,7 +206,7 @@
 
     @property
     def says_200(self) -> bool:
-        """The first line of the present response reads 200, whatever becomes of the rest."""
+        """The whole first line of the present response reads 200, whatever becomes of the rest."""
         return not self._needs_body and _SAYS_200.match(self._start) is not None
 
     @property
@@ -298,7 +300,8 @@
         body, interim = bytearray(), 0
         while not isinstance(event := http.next_event(), h11.EndOfMessage):
             if event is h11.NEED_DATA:
-                if rest.deadline == math.inf and (head or self.says_200) and not self._needs_body:
+                begun = head or _BEGINS_200.match(self._start)
+                if rest.deadline == math.inf and begun and not self._needs_body:
                     rest.deadline = anyio.current_time() + _REST_S
                 http.receive_data(await self._receive())
             elif isinstance(event, h11.InformationalResponse):
--- a/tests/orders/test_attempts.py
+++ b/tests/orders/test_attempts.py
@@ -91,7 +91,9 @@
     def test_an_answer_in_the_turn_in_which_the_time_is_up(self) -> None:
         """Its bytes are in the kernel when the attempt is timed out or cancelled: what is whole is believed, a wait
         that it tells above all, since that runs from its writing; of the rest a first line of 200."""
-        cases = ((OK, Outcome.OK, 0), (OK[:14], Outcome.OK, 0), (b"HTTP/1.1 500 E\r\n\r\n", None, 0),
+        line = OK.index(b"\n") + 1  # a message is delivered once the whole line is written: half of it may stay alone
+        cases = ((OK, Outcome.OK, 0), (OK[:line], Outcome.OK, 0), (OK[:14], None, 0), (OK[:line - 1], None, 0),
+                 (b"HTTP/1.1 500 E\r\n\r\n", None, 0),
                  (WAIT, Outcome.FULL, 400), (WAIT[:-1], None, 0), (WAIT + b"x", Outcome.FULL, 400),
                  (WAIT.replace(b"Content", b"Connection: close\r\nContent"), Outcome.FULL, 400),
                  (b"HTTP/1.1 100 Continue\r\n\r\n" + WAIT, Outcome.FULL, 400),
@@ -192,6 +194,25 @@
 
         self.play(test)
 
+    def test_half_a_first_line_of_200_delivers_nothing(self) -> None:
+        """The connection breaks behind it, or the rest does not come: it may have run."""
+        for breaks in (True, False):
+            with self.subTest(breaks=breaks):
+                async def test(world: Scripted, breaks: bool = breaks) -> None:
+                    with mock.patch("calicohitch.net.http._REST_S", 0.05):
+                        async with anyio.create_task_group() as tasks:
+                            tasks.start_soon(world.call)
+                            link = await world.accepted()
+                            await link.receive()
+                            await link.send(OK[:14])
+                            if breaks:
+                                link.close()
+                    assert world.result
+                    self.assertEqual((world.result.outcome, world.kept), (Outcome.RESET, 0))
+                    link.close()
+
+                self.play(test)
+
     def test_a_late_200_after_the_next_attempt_has_begun_answers_nothing(self) -> None:
         async def test(world: Scripted) -> None:
             async with anyio.create_task_group() as tasks:
