--- a/calicohitch/net/http.py
+++ b/calicohitch/net/http.py
@@ -181,14 +181,63 @@
     body: bytes = b""
 
 
+class Reading:
+    """One response, as far as it has come. No I/O. `start`: its first bytes, after any 1xx; `head`: once that came."""
+
+    def __init__(self, most: int) -> None:
+        """`most`: bytes of its body, at most."""
+        self.start, self._most = b"", most
+        self.head: h11.Response | None = None
+        self._http: h11.Connection | None = None  # the usual response needs none
+        self._body, self._interim = bytearray(), 0
+
+    def took(self, data: bytes) -> None:
+        self.start += data[: _FIRST_LINE - len(self.start)]
+
+    def go_on(self, data: bytes) -> Response | None:
+        """Read on by h11, with what came since; the response once it is whole. Raises what makes it unreadable."""
+        http = self._http = self._http or self._asked()
+        http.receive_data(data)
+        while not isinstance(event := http.next_event(), h11.EndOfMessage):
+            if event is h11.NEED_DATA:
+                return None
+            if isinstance(event, h11.InformationalResponse):
+                self._interim += 1
+                self.start = http.trailing_data[0][:_FIRST_LINE]
+            elif isinstance(event, h11.Response):
+                self.head = event
+            elif isinstance(event, h11.Data):
+                self._body += event.data
+            elif isinstance(event, h11.ConnectionClosed):
+                raise ConnectionResetError("closed without a response")
+            if len(self._body) > self._most or self._interim > _MAX_INTERIM:
+                raise ConnectionResetError("the response is too long")
+        assert self.head is not None
+        return Response(self.head.status_code, dict(self.head.headers), bytes(self._body))
+
+    @property
+    def clean(self) -> bool:
+        """It is whole, with nothing behind it, and another may follow on its connection."""
+        http = self._http
+        return http is not None and not http.trailing_data[0] and (
+            http.our_state is h11.DONE and http.their_state is h11.DONE)
+
+    @staticmethod
+    def _asked() -> h11.Connection:
+        """A connection on which a request was sent: what it asked for changes nothing of how its response is read."""
+        http = h11.Connection(h11.CLIENT)
+        http.send(h11.Request(method="GET", target="/", headers=[(b"Host", b"-")]))
+        http.send(h11.EndOfMessage())
+        return http
+
+
 class ClientConnection:
     """A connection to a server, for one request at a time."""
 
     def __init__(self, link: Link, max_body: int = MAX_BODY, needs_body: bool = False) -> None:
         self._link, self._max_body, self._needs_body = link, max_body, needs_body
         self._clean = True  # between requests, with nothing left of the last response
-        self._came = b""  # of the present response: of one that is looked at again all, else its first part
-        self._start = b""  # of the present response, after any 1xx
+        self._reading = Reading(max_body)  # of the present response
         self.sent = False  # whether the last byte of the present request was handed to the kernel
         self.idle_since = 0.0
         self.progress: Callable[[bool], None] | None = None  # told when all is sent, and when an answer begins
@@ -207,29 +256,20 @@
     @property
     def says_200(self) -> bool:
         """The whole first line of the present response reads 200, whatever becomes of the rest."""
-        return not self._needs_body and _SAYS_200.match(self._start) is not None
+        return not self._needs_body and _SAYS_200.match(self._reading.start) is not None
 
     @property
     def answered(self) -> bool:
         """Some part of the present response is here."""
-        return bool(self._start)
+        return bool(self._reading.start)
 
     def look_once_more(self) -> Response | None:
         """What is there of an answer that is not waited for any more: the answer, where it is whole or says 200."""
-        self._took(self._link.receive_some())
-        http = h11.Connection(h11.CLIENT)
-        http.send(h11.Request(method="POST", target="/", headers=[(b"Host", b"-"), (b"Content-Length", b"0")]))
-        http.send(h11.EndOfMessage())
-        http.receive_data(self._came)
-        head: h11.Response | None = None
-        with suppress(h11.RemoteProtocolError):
-            while (event := http.next_event()) is not h11.NEED_DATA and not isinstance(event, h11.ConnectionClosed):
-                if isinstance(event, h11.InformationalResponse):
-                    self._start = http.trailing_data[0][:_FIRST_LINE]
-                elif isinstance(event, h11.Response):
-                    head = event
-                elif isinstance(event, h11.EndOfMessage) and head is not None:
-                    return Response(head.status_code, dict(head.headers))
+        if data := self._link.receive_some():
+            self._reading.took(data)
+            with suppress(h11.RemoteProtocolError, ConnectionResetError):
+                if response := self._reading.go_on(data):
+                    return response
         return Response(200, {}) if self.says_200 else None
 
     def close(self) -> None:
@@ -238,7 +278,7 @@
     async def request(self, method: str, target: str, headers: Headers, body: bytes = b"") -> Response:
         """The server's response. OSError where there is none, or none that can be read; a 200 is believed by
         its first line alone, unless the body is what was asked for."""
-        self.sent, self._start, self._came, self._clean = False, b"", b"", False
+        self.sent, self._clean, self._reading = False, False, Reading(self._max_body)
         if body or method == "POST":
             headers = [*headers, (b"Content-Length", b"%d" % len(body))]
         lines = [b"%s: %s\r\n" % header for header in headers]
@@ -250,74 +290,36 @@
         if self.progress:
             self.progress(False)
         try:
-            response = await self._common_response() or await self._response(method, target, headers, body)
-            self._came = b""  # an idle connection holds nothing
-            return response
+            return await self._response()
         except (h11.RemoteProtocolError, OSError) as err:
             if self.says_200:
                 return Response(200, {})
             raise ConnectionResetError(str(err)) from err
 
-    async def _common_response(self) -> Response | None:
-        """The response, if it comes whole and in its usual form; else what came of it is left in `_came`."""
+    async def _response(self) -> Response:
+        """The response: at once if it comes whole and in its usual form, else by h11."""
         data = await self._receive()
         found = answer.read(data, self._max_body) if data else Look.UNCOMMON
-        if isinstance(found, Look):
-            return None
-        self._clean = True
-        return Response(*found)
+        if not isinstance(found, Look):
+            self._clean = True
+            return Response(*found)
+        with anyio.CancelScope() as rest:  # once it has begun, this bounds how long it may take
+            while (response := self._reading.go_on(data)) is None:
+                begun = self._reading.head or _BEGINS_200.match(self._reading.start)
+                if rest.deadline == math.inf and begun and not self._needs_body:
+                    rest.deadline = anyio.current_time() + _REST_S
+                data = await self._receive()
+            self._clean = self._reading.clean
+            return response
+        raise ConnectionResetError("the rest of the response did not come")
 
     async def _receive(self) -> bytes:
         data = await self._link.receive()
         if self.progress:
             self.progress(True)
-        self._took(data)
+        self._reading.took(data)
         return data
 
-    def _took(self, data: bytes) -> None:
-        self._start += data[: _FIRST_LINE - len(self._start)]
-        if not self._came or not self._needs_body:  # of what is long the first part is enough: nobody looks again
-            self._came += data
-
-    async def _response(self, method: str, target: str, headers: Headers, body: bytes) -> Response:
-        """The response by h11, which is told of the request as though it had sent it."""
-        http = h11.Connection(h11.CLIENT)
-        http.send(h11.Request(method=method, target=target, headers=headers))
-        if body:
-            http.send(h11.Data(data=body))
-        http.send(h11.EndOfMessage())
-        http.receive_data(self._came)
-        with anyio.CancelScope() as rest:
-            response = await self._read(http, rest)
-        if rest.cancelled_caught:
-            raise ConnectionResetError("the rest of the response did not come")
-        self._clean = (http.our_state is h11.DONE and http.their_state is h11.DONE and not http.trailing_data[0])
-        return response
-
-    async def _read(self, http: h11.Connection, rest: anyio.CancelScope) -> Response:
-        """Reads a whole response; once it has begun, `rest` bounds how long that may take."""
-        head: h11.Response | None = None
-        body, interim = bytearray(), 0
-        while not isinstance(event := http.next_event(), h11.EndOfMessage):
-            if event is h11.NEED_DATA:
-                begun = head or _BEGINS_200.match(self._start)
-                if rest.deadline == math.inf and begun and not self._needs_body:
-                    rest.deadline = anyio.current_time() + _REST_S
-                http.receive_data(await self._receive())
-            elif isinstance(event, h11.InformationalResponse):
-                interim += 1
-                self._start = http.trailing_data[0][:_FIRST_LINE]
-            elif isinstance(event, h11.Response):
-                head = event
-            elif isinstance(event, h11.Data):
-                body += event.data
-            elif isinstance(event, h11.ConnectionClosed):
-                raise ConnectionResetError("closed without a response")
-            if len(body) > self._max_body or interim > _MAX_INTERIM:
-                raise ConnectionResetError("the response is too long")
-        assert head is not None
-        return Response(head.status_code, dict(head.headers), bytes(body))
-
 
 class KeptConnection:
     """A connection to a server that is asked again and again, opened anew where it broke or moved."""
--- a/tests/orders/test_attempts.py
+++ b/tests/orders/test_attempts.py
@@ -60,6 +60,21 @@
     return link
 
 
+async def answered_in_part(world: Scripted, sent: bytes, breaks: bool = False) -> Outcome:
+    """What becomes of a call of whose answer this much comes; then the connection breaks, or nothing more is said."""
+    with mock.patch("calicohitch.net.http._REST_S", 0.05):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(world.call)
+            link = await world.accepted()
+            await link.receive()
+            await link.send(sent)
+            if breaks:
+                link.close()
+    link.close()
+    assert world.result
+    return world.result.outcome
+
+
 class Endings(unittest.TestCase):
     def play(self, test: Callable[[Scripted], Awaitable[None]]) -> None:
         async def run() -> None:
@@ -182,15 +197,8 @@
 
     def test_a_200_whose_rest_never_comes(self) -> None:
         async def test(world: Scripted) -> None:
-            with mock.patch("calicohitch.net.http._REST_S", 0.05):
-                async with anyio.create_task_group() as tasks:
-                    tasks.start_soon(world.call)
-                    link = await world.accepted()
-                    await link.receive()
-                    await link.send(OK[:20])
-            assert world.result
-            self.assertEqual((world.result.outcome, world.kept), (Outcome.OK, 0))
-            link.close()
+            outcome = await answered_in_part(world, OK[:20])
+            self.assertEqual((outcome, world.kept), (Outcome.OK, 0))
 
         self.play(test)
 
@@ -199,17 +207,8 @@
         for breaks in (True, False):
             with self.subTest(breaks=breaks):
                 async def test(world: Scripted, breaks: bool = breaks) -> None:
-                    with mock.patch("calicohitch.net.http._REST_S", 0.05):
-                        async with anyio.create_task_group() as tasks:
-                            tasks.start_soon(world.call)
-                            link = await world.accepted()
-                            await link.receive()
-                            await link.send(OK[:14])
-                            if breaks:
-                                link.close()
-                    assert world.result
-                    self.assertEqual((world.result.outcome, world.kept), (Outcome.RESET, 0))
-                    link.close()
+                    outcome = await answered_in_part(world, OK[:14], breaks)
+                    self.assertEqual((outcome, world.kept), (Outcome.RESET, 0))
 
                 self.play(test)
 
@@ -257,13 +256,7 @@
 class Drains(unittest.TestCase):
     @in_world
     async def test_a_drain_during_a_call_leaves_no_connection(self, world: World) -> None:
-        release = anyio.Event()
-
-        async def hold(_request: Any) -> Any:
-            await release.wait()
-            return 200, {}, b""
-
-        world.endpoint.handle = hold
+        release = world.hold()
         async with world.relay() as relay:
             await world.hand_in("a1")
             await until(lambda: world.endpoint.requests)
--- a/tests/orders/test_restart.py
+++ b/tests/orders/test_restart.py
@@ -255,13 +255,7 @@
     def test_events_behind_one_at_which_the_decisions_broke_are_told(self) -> None:
         """An outcome among them gives its slot back."""
         async def test(world: World) -> None:
-            release = anyio.Event()
-
-            async def hold(_request: Any) -> Any:
-                await release.wait()
-                return 200, {}, b""
-
-            world.endpoint.handle = hold
+            release = world.hold()
             async with world.relay() as relay:
                 await world.hand_in("m0", path="/scores")
                 await until(lambda: world.endpoint.requests)
--- a/tests/orders/test_shutdown.py
+++ b/tests/orders/test_shutdown.py
@@ -4,7 +4,6 @@
 
 import signal
 import socket
-import subprocess
 import sys
 import tomllib
 import unittest
@@ -35,22 +34,14 @@
         for more in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
             with self.subTest(signal=more.name):
                 async def test(world: World, more: signal.Signals = more) -> None:
-                    release = anyio.Event()
-
-                    async def slow(_request: Any) -> Any:
-                        await release.wait()
-                        return 200, {}, b""
-
-                    world.endpoint.handle = slow
+                    release = world.hold()
                     program = Program(world)
                     process = await program.start()
                     try:
                         self.assertEqual((await world.hand_in(Req_Deadline_Ms="20000")).status, 202)
                         await until(lambda: world.endpoint.requests)
                         process.send_signal(signal.SIGTERM)
-                        with anyio.fail_after(LIMIT):
-                            while await program.ready() == 200:
-                                await anyio.sleep(0.02)
+                        await program.until_ready(False)
                         for _ in range(3):
                             process.send_signal(more)
                             self.assertEqual((await world.hand_in("a2")).status, 503)  # it goes on
@@ -73,8 +64,7 @@
                     "        if name == 'calicohitch.service': os.kill(os.getpid(), signal.SIGTERM)\n"
                     "sys.meta_path.insert(0, Early()); sys.argv[1:] = ['serve']\n"
                     "runpy.run_module('calicohitch', run_name='__main__')\n")
-            process = subprocess.Popen([sys.executable, "-c", code], env=program.env, cwd=ROOT,
-                stderr=subprocess.DEVNULL)
+            process = program.spawn([sys.executable, "-c", code])
             try:
                 await until(lambda: process.poll() is not None)
                 self.assertEqual(process.returncode, 0)
@@ -94,14 +84,11 @@
             run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
             self.assertIn(".venv/bin/python", run)
             command = run.replace(".venv/bin/python", sys.executable)
-            process = subprocess.Popen(["/bin/sh", "-c", command], cwd=ROOT, stderr=subprocess.DEVNULL,
-                env=program.env | {"PYTHONPATH": str(world.folder)})
+            process = program.spawn(["/bin/sh", "-c", command], PYTHONPATH=str(world.folder))
             try:
                 await until(lambda: process.poll() is not None or world.platform.requests)
                 self.assertIsNone(process.returncode)
-                with anyio.fail_after(LIMIT):
-                    while await program.ready() != 200:
-                        await anyio.sleep(0.02)
+                await program.until_ready()
                 moved = Party(world.platform.handle)
                 program.say({"discovery": str(moved.address)})
                 async with anyio.create_task_group() as tasks:
@@ -129,12 +116,9 @@
                     "    for n in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT): os.kill(os.getpid(), n)\n"
                     "anyio.run = late; sys.argv[1:] = ['serve']\n"
                     "runpy.run_module('calicohitch', run_name='__main__')\n")
-            process = subprocess.Popen([sys.executable, "-c", code], env=program.env, cwd=ROOT,
-                stderr=subprocess.DEVNULL)
+            process = program.spawn([sys.executable, "-c", code])
             try:
-                with anyio.fail_after(LIMIT):
-                    while await program.ready() != 200:
-                        await anyio.sleep(0.02)
+                await program.until_ready()
                 process.send_signal(signal.SIGTERM)
                 await until(lambda: process.poll() is not None)
                 self.assertEqual(process.returncode, 0)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -42,11 +42,17 @@
 
     async def start(self) -> subprocess.Popen[bytes]:
         command = [sys.executable, "-B", "-m", "calicohitch", "serve", *self.arguments]
-        process = subprocess.Popen(command, env=self.env, cwd=ROOT, stderr=subprocess.DEVNULL)
+        process = self.spawn(command)
+        await self.until_ready()
+        return process
+
+    def spawn(self, command: list[str], **env: str) -> subprocess.Popen[bytes]:
+        return subprocess.Popen(command, env=self.env | env, cwd=ROOT, stderr=subprocess.DEVNULL)
+
+    async def until_ready(self, ready: bool = True) -> None:
         with anyio.fail_after(LIMIT):
-            while await self.ready() != 200:
+            while (await self.ready() == 200) is not ready:
                 await anyio.sleep(0.02)
-        return process
 
     async def ready(self) -> int:
         try:
@@ -91,21 +97,13 @@
 
     def test_a_stopping_relay_refuses_new_work_and_ends_what_it_has(self) -> None:
         async def test(world: World) -> None:
-            release = anyio.Event()
-
-            async def slow(_request: Request) -> object:
-                await release.wait()
-                return 200, {}, b""
-
-            world.endpoint.handle = slow  # type: ignore[assignment]
+            release = world.hold()
             program = Program(world)
             process = await program.start()
             try:
                 await world.hand_in(Req_Deadline_Ms="20000")
                 process.send_signal(signal.SIGTERM)
-                with anyio.fail_after(LIMIT):
-                    while await program.ready() == 200:
-                        await anyio.sleep(0.02)
+                await program.until_ready(False)
                 self.assertEqual((await world.hand_in("a2")).status, 503)
                 self.assertIsNone(process.poll())
                 release.set()
--- a/tests/world.py
+++ b/tests/world.py
@@ -98,6 +98,17 @@
     async def _deliver(self, _request: Request) -> Answer:
         return self.answers.pop(0) if self.answers else (200, {}, b"")
 
+    def hold(self) -> anyio.Event:
+        """The endpoint answers 200, and nothing before this is set."""
+        release = anyio.Event()
+
+        async def held(_request: Request) -> Answer:
+            await release.wait()
+            return 200, {}, b""
+
+        self.endpoint.handle = held
+        return release
+
     async def _discovery(self, request: Request) -> Answer:
         if request.path == "/reports":
             self.notices += [json.loads(line) for line in request.body.splitlines()]
