A close behind an uncommon request's answer is no reset: hang_up is called once, where it can act

`_task_over` called `_close`, which closed the socket with what was unread, and then `hang_up` on the closed socket, which did nothing: the twin of order 6 that docs/design/orders.md lists as covered was not. Now `_close(answered=True)` does it, and `hang_up` stands alone for who was closed while its task ran. The test lets a byte come between the answer and the close; without the mend: "ConnectionResetError: [Errno 104]". Checked: lint, types, tests/orders/test_shutdown, test_attempts, tests/intake, tests/test_relay_rules; not the whole suite.

--- a/calicohitch/intake/clients.py
+++ b/calicohitch/intake/clients.py
@@ -494,9 +494,10 @@
         if keep and not seat.gone:
             self._wait(seat)
             self._keep(seat)
+        elif seat.gone:
+            hang_up(seat.sock)  # who closed it left that to its task
         else:
-            self._close(seat)
-            hang_up(seat.sock)
+            self._close(seat, answered=True)
 
     def _hand_over(self, seat: Seat, late: bool = False, ended: bool = False) -> None:
         """Give a request that is uncommon, or that does not end, to h11 and a task."""
--- a/tests/orders/test_shutdown.py
+++ b/tests/orders/test_shutdown.py
@@ -17,7 +17,7 @@
 
 from calicohitch.net import notices
 from calicohitch.net import relay as relay_module
-from calicohitch.net.http import Link
+from calicohitch.net.http import Link, ServerConnection
 from calicohitch.core.seam import Submission
 
 HEAD = (b"POST /orders HTTP/1.1\r\nHost: r\r\nReq-Id: a1\r\nReq-Deadline-Ms: 5000\r\nEnvelope: dest=7\r\n"
@@ -228,6 +228,23 @@
                     client.setblocking(False)
                     self.assertEqual((await answer_on(Link(client)))[9:12], b"503")
 
+    @in_world
+    async def test_a_close_behind_the_answer_to_an_uncommon_request_is_no_reset(self, world: World) -> None:
+        """More comes between the answer that a task has written and its close."""
+        async with world.relay() as relay:
+            link = await Link.connect(world.client)
+            relay.stopping, respond = True, ServerConnection.respond
+
+            async def responded(connection: ServerConnection, *rest: Any, **more: Any) -> None:
+                await respond(connection, *rest, **more)
+                await link.send(b"x")
+                await until(lambda: not connection._link.is_quiet())
+
+            with mock.patch.object(ServerConnection, "respond", responded):
+                await link.send(HEAD.replace(b"Content-Length: 0", b"Transfer-Encoding: chunked") + b"\r\n0\r\n\r\n")
+                self.assertEqual((await answer_on(link))[9:12], b"503")
+            link.close()
+
     @in_world
     async def test_a_request_that_waits_for_its_turn_is_not_taken_for_silence(self, world: World) -> None:
         """Its connection's time is up, or room is made, while the request is there and unread."""
