--- a/tests/test_relay_rules.py
+++ b/tests/test_relay_rules.py
@@ -50,10 +50,13 @@
     @in_world
     async def test_given_up_messages_end_by_one_notice_with_a_time_to_come_back(self, world: World) -> None:
         world.members = []  # nobody to send to: the late drop ends it
-        async with world.relay():
-            await world.hand_in(Req_Deadline_Ms="1300")
-            await until(lambda: world.notices)
-            await until(lambda: not left_open(world.folder))
+        # An acknowledgement that is late under load is no silent agent's: that has a test of its own.
+        with mock.patch("calicohitch.net.notices._ANSWER_S", 5.0), mock.patch(
+                "calicohitch.net.notices._ANSWER_MAX_S", 5.0):
+            async with world.relay():
+                await world.hand_in(Req_Deadline_Ms="1300")
+                await until(lambda: world.notices)
+                await until(lambda: not left_open(world.folder))
         (told,) = world.notices
         self.assertEqual((told["message"], told["outcome"]), ("a1", "handed_back"))
         self.assertTrue(500 <= told["retry_in_ms"] <= 750, told)
