--- a/calicohitch/net/endpoints.py
+++ b/calicohitch/net/endpoints.py
@@ -110,7 +110,7 @@
         pool = (endpoint, address)
         connection: ClientConnection | None = None
         response: Response | None = None
-        unsent = made = stale = False
+        unsent = made = stale = late = False
         self._out[endpoint] = self._out.get(endpoint, 0) + 1
         closed_before = self._closed.get(endpoint, 0)
         deadline = anyio.current_time() + call.timeout / 1e3
@@ -146,6 +146,7 @@
                 if made and response is None and connection.sent:
                     # It may have come in the turn in which the time was up. A wait that it tells runs from its writing.
                     response = connection.look_once_more()
+                late = connection.told_at >= deadline
                 self._give_back(pool, connection, ended_well)
             self._out[endpoint] -= 1
             if not self._out[endpoint]:
@@ -154,7 +155,10 @@
         if response is not None:
             if call.marks:
                 call.marks.status = response.status
-            return result_of(response, self._fields)
+            result = result_of(response, self._fields)
+            # Guards against an answer that comes when nobody counts on it any more: read in the turn in which the time
+            # is up, it may have been written before or behind that. It ends nothing; the call may have run.
+            return Result(Outcome.TIMEOUT, report=result.report) if late and result.ended else result
         if scope.cancelled_caught:
             return Result(Outcome.CANCELLED)
         if connection is None and self._is_full():
--- a/calicohitch/net/http.py
+++ b/calicohitch/net/http.py
@@ -182,17 +182,24 @@
 
 
 class Reading:
-    """One response, as far as it has come. No I/O. `start`: its first bytes, after any 1xx; `head`: once that came."""
+    """One response, as far as it has come. No I/O. `start`: its first bytes, after any 1xx; `head`: once that came.
+    `told_at`: when its first line was read whole."""
 
     def __init__(self, most: int) -> None:
         """`most`: bytes of its body, at most."""
         self.start, self._most = b"", most
+        self.told_at, self._came_at = math.inf, 0.0
         self.head: h11.Response | None = None
         self._http: h11.Connection | None = None  # the usual response needs none
         self._body, self._interim = bytearray(), 0
 
-    def took(self, data: bytes) -> None:
-        self.start += data[: _FIRST_LINE - len(self.start)]
+    def took(self, data: bytes, now: float) -> None:
+        self._came_at = now
+        self._begins(self.start + data[: _FIRST_LINE - len(self.start)])
+
+    def _begins(self, start: bytes) -> None:
+        self.start = start
+        self.told_at = min(self.told_at, self._came_at) if b"\n" in start else math.inf
 
     def go_on(self, data: bytes) -> Response | None:
         """Read on by h11, with what came since; the response once it is whole. Raises what makes it unreadable."""
@@ -203,7 +210,8 @@
                 return None
             if isinstance(event, h11.InformationalResponse):
                 self._interim += 1
-                self.start = http.trailing_data[0][:_FIRST_LINE]
+                self.told_at = math.inf
+                self._begins(http.trailing_data[0][:_FIRST_LINE])
             elif isinstance(event, h11.Response):
                 self.head = event
             elif isinstance(event, h11.Data):
@@ -263,10 +271,15 @@
         """Some part of the present response is here."""
         return bool(self._reading.start)
 
+    @property
+    def told_at(self) -> float:
+        """When the first line of the present response was read whole, in the loop's seconds."""
+        return self._reading.told_at
+
     def look_once_more(self) -> Response | None:
         """What is there of an answer that is not waited for any more: the answer, where it is whole or says 200."""
         if data := self._link.receive_some():
-            self._reading.took(data)
+            self._reading.took(data, anyio.current_time())
             with suppress(h11.RemoteProtocolError, ConnectionResetError):
                 if response := self._reading.go_on(data):
                     return response
@@ -317,7 +330,7 @@
         data = await self._link.receive()
         if self.progress:
             self.progress(True)
-        self._reading.took(data)
+        self._reading.took(data, anyio.current_time())
         return data
 
 
--- a/tests/orders/test_attempts.py
+++ b/tests/orders/test_attempts.py
@@ -4,11 +4,12 @@
 
 import unittest
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from typing import Any
 from unittest import mock
 
 import anyio
-from world import HERE, LIMIT, World, member, play, until
+from world import HERE, LIMIT, SETTINGS, World, member, play, until
 
 from calicohitch.clock import Clock
 from calicohitch.config import Address
@@ -105,15 +106,18 @@
 
     def test_an_answer_in_the_turn_in_which_the_time_is_up(self) -> None:
         """Its bytes are in the kernel when the attempt is timed out or cancelled: what is whole is believed, a wait
-        that it tells above all, since that runs from its writing; of the rest a first line of 200."""
+        that it tells above all, since that runs from its writing; of the rest a first line of 200. What would end the
+        message does so only while the attempt has time: behind it nobody knows whether it was written in time."""
         line = OK.index(b"\n") + 1  # a message is delivered once the whole line is written: half of it may stay alone
+        gone = b"HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n"
         cases = ((OK, Outcome.OK, 0), (OK[:line], Outcome.OK, 0), (OK[:14], None, 0), (OK[:line - 1], None, 0),
                  (b"HTTP/1.1 500 E\r\n\r\n", None, 0),
                  (WAIT, Outcome.FULL, 400), (WAIT[:-1], None, 0), (WAIT + b"x", Outcome.FULL, 400),
                  (WAIT.replace(b"Content", b"Connection: close\r\nContent"), Outcome.FULL, 400),
                  (b"HTTP/1.1 100 Continue\r\n\r\n" + WAIT, Outcome.FULL, 400),
                  (b"HTTP/1.1 503 S\r\nContent-Length: 0\r\n\r\n", Outcome.FULL, 0),
-                 (b"HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n", Outcome.ERROR, 0), (b"spoilt\r\n\r\n", None, 0))
+                 (b"HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n", Outcome.ERROR, 0), (b"spoilt\r\n\r\n", None, 0),
+                 (gone, Outcome.MOOT, 0), (b"HTTP/1.1 100 Continue\r\n\r\n" + OK, Outcome.OK, 0))
         for ends in ("time", "cancel"):
             for sent, outcome, wait in cases:
                 with self.subTest(ends=ends, sent=sent):
@@ -140,12 +144,52 @@
                                     scope.cancel()
                         assert world.result
                         late = Outcome.TIMEOUT if ends == "time" else Outcome.CANCELLED
+                        if ends == "time" and outcome in (Outcome.OK, Outcome.MOOT):
+                            outcome = None
                         self.assertEqual((world.result.outcome, world.result.wait), (outcome or late, wait))
+                        self.assertEqual(world.result.ended, outcome in (Outcome.OK, Outcome.MOOT))
                         self.assertEqual(world.kept, 0)
                         server.close()
 
                     self.play(test)
 
+    def test_an_answer_that_is_read_behind_the_time_before_the_time_is_noticed(self) -> None:
+        """The loop comes late to both, and to the answer first: it says nothing of when it was written. One whose first
+        line was read in time delivers, however late its rest is."""
+        line = OK.index(b"\n") + 1
+        for early, outcome in ((b"", Outcome.TIMEOUT), (OK[:line - 1], Outcome.TIMEOUT), (OK[:line], Outcome.OK),
+                               (b"HTTP/1.1 100 Continue\r\n\r\n", Outcome.TIMEOUT)):
+            with self.subTest(early=early):
+                async def test(world: Scripted, early: bytes = early, outcome: Outcome = outcome) -> None:
+                    until_s, reading = 0.0, anyio.Event()
+                    receive, server = Link.receive, None
+
+                    async def behind(link: Link) -> bytes:
+                        if link is server:
+                            return await receive(link)
+                        reading.set()
+                        data = await receive(link)
+                        while data != early and anyio.current_time() < until_s:
+                            pass  # no other step of the loop, and no timer of its
+                        return data
+
+                    with mock.patch.object(Link, "receive", behind):
+                        async with anyio.create_task_group() as tasks:
+                            tasks.start_soon(world.call, 200)
+                            server = await world.accepted()
+                            await reading.wait()
+                            until_s = anyio.current_time() + 0.2  # its time is up by then
+                            if early:
+                                reading = anyio.Event()
+                                await server.send(early)
+                                await reading.wait()
+                            await server.send(OK if early[:9] != b"HTTP/1.1 " or b"100" in early else OK[len(early):])
+                    assert world.result
+                    self.assertEqual((world.result.outcome, world.result.ended), (outcome, outcome is Outcome.OK))
+                    server.close()
+
+                self.play(test)
+
     def test_the_rest_of_an_answer_in_the_turn_in_which_the_time_is_up(self) -> None:
         """Its beginning was read before, by h11."""
         async def test(world: Scripted) -> None:
@@ -253,6 +297,40 @@
         self.play(test)
 
 
+class Late(unittest.TestCase):
+    """A 200 that the relay reads when its message's time is over: seen on short days as a message that was lost, since
+    the platform did not count it as delivered, and the relay told nobody of an end."""
+
+    def test_a_message_whose_200_comes_behind_its_time_is_ended_by_its_one_notice(self) -> None:
+        for path, outcome in (("/scores", "handed_back"), ("/orders", "handed_back"), ("/entries", "given_up")):
+            with self.subTest(path=path):
+                play(lambda world, path=path, outcome=outcome: self._late(world, path, outcome))
+
+    async def _late(self, world: World, path: str, outcome: str) -> None:
+        receive = Link.receive
+
+        async def behind(link: Link) -> bytes:
+            data = await receive(link)
+            with suppress(OSError):
+                if link._sock.getpeername()[1] == world.endpoint.address.port:
+                    while world.clock.now() < due:
+                        pass  # no other step of the loop, and no timer of its
+            return data
+
+        settings = SETTINGS | {"services": [
+            {"name": "scores", "effect": "safe", "on_time": 100_000, "hard_limit": 5_000_000},
+            {"name": "orders", "effect": "keyed", "on_time": 100_000, "hard_limit": 5_000_000, "window": 200_000},
+            {"name": "entries", "effect": "unsafe", "on_time": 100_000, "hard_limit": 5_000_000}]}
+        with mock.patch.object(Link, "receive", behind):
+            async with world.relay(settings=settings) as relay:
+                due = world.clock.now() + 400
+                await world.hand_in("a1", path, Req_Deadline_Ms="300")
+                await until(lambda: relay.idle)
+        self.assertEqual([(told["message"], told["outcome"]) for told in world.notices], [("a1", outcome)])
+        self.assertEqual(len(world.endpoint.requests), 1)
+        self.assertLess(world.clock.now(), due + LIMIT * 1e3)
+
+
 class Drains(unittest.TestCase):
     @in_world
     async def test_a_drain_during_a_call_leaves_no_connection(self, world: World) -> None:
