The auditor knows that a 202 that is read behind its relay's kill was written before it

The rig's client read the 202 off a killed process's connection once the folder had gone, and the auditor took that for a message taken on after the loss, which no folder excuses.

What a client reads behind a kill of its relay was written before the kill: the loss is judged against that moment. A loss while the relay runs, and a message handed in behind the kill, are judged as before. Hand-made stories of all three; without the change: AssertionError: Lists differ: ['lost'] != [].

--- a/tests/fleet/auditor.py
+++ b/tests/fleet/auditor.py
@@ -142,7 +142,8 @@
             away = [event for event in gone[told.relay] if event.at < due]
             if self._taken_over_s is not None:
                 due = max([due, *(event.at + self._taken_over_s + SLACK_S for event in away)])
-            elif any(event.what in ("lost", "left") for event in away if event.at >= told.at):
+            elif any(event.what in ("lost", "left") for event in away
+                     if event.at >= self._written(handed[wire_id], told, away)):
                 continue  # its folder is gone, or its relay was not started again before the end
             if away:
                 heirs = [told.relay, *(event.to for event in away if event.what == "handed on")]
@@ -162,6 +163,12 @@
             if good and "handed_back" in outcomes and self._classes[handed[wire_id].cls].effect == "unsafe":
                 report.findings.append(Finding("two ends", ends[-1].at, (wire_id,), "delivered, and handed back"))
 
+    @staticmethod
+    def _written(handed: Event, told: Event, away: list[Event]) -> float:
+        """When a 202 was written, at the latest: what a client reads behind a kill of its relay came before that."""
+        kills = [event.at for event in away if event.what == "SIGKILL" and handed.at <= event.at <= told.at]
+        return min([told.at, *kills])
+
     def _one_message(self, report: Report, handed: Event | None, wire_id: str, made: list[Event],
                      answers: dict[int, Event], taken: bool) -> None:
         """Two attempts are never out at once, and one that may have run is repeated only as its class allows."""
--- a/tests/fleet/test_auditor.py
+++ b/tests/fleet/test_auditor.py
@@ -52,6 +52,12 @@
         self.assertEqual(self.found(*taken, notice(9.5)), ["late end"])
         self.assertEqual(self.found(handed(1.0), told(1.1, 503)), [])
         self.assertEqual(self.found(*taken, (2.0, "fault", {"what": "lost", "relay": "r0"})), [])
+        # A 202 may be read when its relay was killed and its folder has gone; one that comes from a later life may not.
+        killed = (1.02, "fault", {"what": "SIGKILL", "relay": "r0"})
+        lost = (1.05, "fault", {"what": "lost", "relay": "r0"})
+        self.assertEqual(self.found(handed(1.0), killed, lost, told(1.1)), [])
+        self.assertEqual(self.found(handed(1.0), lost, told(1.1)), ["lost"])
+        self.assertEqual(self.found(killed, lost, handed(1.06), told(1.1)), ["lost"])
         away = (2.0, "fault", {"what": "SIGKILL", "relay": "r0"}), (12.0, "ready", {"relay": "r0"})
         self.assertEqual(self.found(*taken, *away, notice(13.4)), [])
         self.assertEqual(self.found(*taken, *away, notice(13.7)), ["late end"])
