Who takes work over a second time learns until when the first owner's call may be out

Were it lost in turn while the owner stood still with a call out, the next one would send at once: two attempts out, which the class allows nobody.

--- a/calicohitch/journal.py
+++ b/calicohitch/journal.py
@@ -195,6 +195,14 @@
         segment.open += 1
         self.next_number = max(self.next_number, entry.number + 1)
 
+    def whole(self, entry: Entry) -> None:
+        """A message with all that is known of it: also for how long each attempt may be out, which whoever takes it
+        over from here has to know."""
+        self.taken(entry)
+        for kind, number, rest in map(read_head, payloads(entry)):
+            if kind not in (_Kind.TAKEN, _Kind.TRACE):
+                self._append(_Kind(kind), number, rest)
+
     def origin(self, number: int, origin: Origin) -> None:
         """The message was another relay's, or surely is this one's now."""
         self._append(_Kind.ORIGIN, number, _origin_data(origin))
--- a/calicohitch/net/relay.py
+++ b/calicohitch/net/relay.py
@@ -690,15 +690,7 @@
             entry = replace(told, number=self._journal.next_number)
             self._copies.opening(entry)
             try:
-                self._journal.taken(entry)
-                if entry.origin:
-                    self._journal.origin(entry.number, entry.origin)
-                for n, attempt in enumerate(entry.attempts):
-                    self._journal.attempt(entry.number, n, attempt.sent_at, attempt.zone)
-                    if attempt.settled or not attempt.may_have_run:
-                        self._journal.outcome(entry.number, n, attempt.may_have_run)
-                if entry.end:
-                    self._journal.end(entry.number, entry.end)
+                self._journal.whole(entry)
             except JournalFull as err:  # it is owed its end all the same, and this process knows it
                 logger.error("journal: {}", err)
             self._adopting[entry.number] = entry
