Plays of scenarios are begun together; ports that tests bind later lie below those given to connections

One pool now plays all that the collected tests will ask for, in their order, and each test takes its own reports. What is played, by which seeds, and what is asked of it is the same.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,10 +1,11 @@
-"""A small courier's world: build a Sender, feed it events, look at what it does."""
+"""A small courier's world: build a Sender, feed it events, look at what it does. And what plays side by side."""
 
 from __future__ import annotations
 
 from typing import Any
 
 import pytest
+from fleet.side_by_side import SIDE_BY_SIDE
 
 from calicohitch import interface as i
 from calicohitch.rules import SECOND, Sender
@@ -93,3 +94,14 @@
     made = Courier()
     made.list(i.Listed(11, 1), i.Listed(21, 2))
     return made
+
+
+def pytest_collection_finish(session: pytest.Session) -> None:
+    """Tell which plays of scenarios the collected tests will ask for: a class's `plays` has them by the test's name."""
+    for item in session.items:
+        of_its_class = getattr(getattr(item, "cls", None), "plays", {})
+        SIDE_BY_SIDE.expected += of_its_class.get(item.name, [])
+
+
+def pytest_sessionfinish() -> None:
+    SIDE_BY_SIDE.end()
--- a/tests/fleet/fleet_rig.py
+++ b/tests/fleet/fleet_rig.py
@@ -8,9 +8,10 @@
 from typing import Any
 
 from fleet.links import TcpLink
-from fleet.rig import Relay, Rig, free_port
+from fleet.rig import Relay, Rig
 from fleet.standins import Destination
 from parties.etcd import Etcd
+from ports import free_port
 
 TTL_S = 2.0
 
--- a/tests/fleet/rig.py
+++ b/tests/fleet/rig.py
@@ -14,13 +14,11 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 import json
 import os
 import random
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -35,6 +33,7 @@
 from fleet.notes import Notes
 from fleet.standins import Destination, Discovery, Endpoint
 from fleet.story import Story
+from ports import free_port, free_udp_port
 
 ROOT = Path(__file__).parents[2]
 _READY_S = 20.0
@@ -65,27 +64,6 @@
     }
 
 
-_ports = itertools.cycle(range(10_000 + os.getpid() % 40 * 500, 10_500 + os.getpid() % 40 * 500))
-
-
-def free_port() -> int:
-    """A port that nobody listens at, below those that the system gives to connections, since it is bound again after
-    kills; rigs in other processes have other ports."""
-    for port in _ports:
-        with suppress(OSError), socket.create_server(("127.0.0.1", port)):
-            return port
-    raise AssertionError("a cycle has no end")
-
-
-def free_udp_port() -> int:
-    """As above: whoever asks the system for any port may be given one that a relay is about to bind."""
-    for port in _ports:
-        with suppress(OSError), socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as found:
-            found.bind(("127.0.0.1", port))
-            return port
-    raise AssertionError("a cycle has no end")
-
-
 # Run first in a child: its life ends with the rig's. Not before its program, by `preexec_fn`: that forks with this
 # process's threads, and libraries that have some (grpc) do not all bear it.
 _WITH_PARENT = f"""
--- /dev/null
+++ b/tests/fleet/side_by_side.py
@@ -0,0 +1,52 @@
+"""Plays of scenarios in processes of their own, several side by side: one process that has to play the parties of them
+all answers late, and the auditor lays that to the relays. All plays that a run of the tests will ask for are begun
+together, so that none waits alone for the end of another test's last one."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from concurrent.futures import Future, ProcessPoolExecutor
+from multiprocessing import get_context
+from typing import NamedTuple
+
+from fleet.auditor import Report
+
+AT_ONCE = max(2, min(5, (os.cpu_count() or 2) - 2))
+
+
+class Play(NamedTuple):
+    name: str
+    seed: int
+    mutant: str = ""  # a fault that is planted in the relays
+    takeover: bool = False
+
+
+def _played(play: Play) -> Report:
+    from fleet.scenarios import SCENARIOS
+    from fleet.takeover_scenarios import TAKEOVERS
+
+    code = f"from fleet.mutants import plant; plant({play.mutant!r})" if play.mutant else ""
+    return asyncio.run((TAKEOVERS if play.takeover else SCENARIOS)[play.name](play.seed, code))
+
+
+class _SideBySide:
+    def __init__(self) -> None:
+        self.expected: list[Play] = []  # by the tests that were collected, in their order
+        self._pool: ProcessPoolExecutor | None = None
+        self._begun: dict[Play, Future[Report]] = {}
+
+    def reports(self, plays: list[Play]) -> list[Report]:
+        """What came of these, in order; a play's own exception where it has one."""
+        self._pool = self._pool or ProcessPoolExecutor(AT_ONCE, get_context("spawn"))
+        for play in [*self.expected, *plays]:
+            if play not in self._begun:
+                self._begun[play] = self._pool.submit(_played, play)
+        return [self._begun[play].result() for play in plays]
+
+    def end(self) -> None:
+        if self._pool:
+            self._pool.shutdown(cancel_futures=True)
+
+
+SIDE_BY_SIDE = _SideBySide()
--- a/tests/fleet/test_scenarios.py
+++ b/tests/fleet/test_scenarios.py
@@ -3,21 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import subprocess
 import sys
 import unittest
-from concurrent.futures import ProcessPoolExecutor
-from multiprocessing import get_context
 from pathlib import Path
 
-from fleet.auditor import Report
 from fleet.mutants import MUTANTS
 from fleet.rig import Rig
-from fleet.scenarios import SCENARIOS
+from fleet.side_by_side import SIDE_BY_SIDE, Play
 
 SEED = 4
-AT_ONCE = max(2, min(5, (os.cpu_count() or 2) - 2))
 SHOWN_BY = {  # mutant -> the scenario that brings it out
     "deaf to waits": "drains", "blind to drains": "drains", "silent about ends": "outage",
     "no record of attempts": "herd_slow", "no record of ends": "herd_slow", "nothing is taken up again": "herd_slow",
@@ -26,22 +21,18 @@
 }
 
 
-def play(name: str, mutant: str) -> Report:
-    code = f"from fleet.mutants import plant; plant({mutant!r})" if mutant else ""
-    return asyncio.run(SCENARIOS[name](SEED, code))
-
-
-def together(*plays: tuple[str, str]) -> list[Report]:
-    """Scenarios with a mutant each ("" for none), some side by side. Each has a process for its parties: one that has
-    to play them all answers late, and the auditor lays that to the relays."""
-    with ProcessPoolExecutor(AT_ONCE, get_context("spawn")) as pool:
-        return list(pool.map(play, *zip(*plays, strict=True)))
-
-
 class Scenarios(unittest.TestCase):
-    def kept(self, *names: str) -> None:
-        for name, report in zip(names, together(*((name, "") for name in names)), strict=True):
-            with self.subTest(name):
+    plays = {
+        "test_a_herd_comes_back": [Play(name, SEED) for name in (
+            "herd", "herd_damaged", "herd_silent", "herd_lowered", "herd_twice", "herd_backlog")],
+        "test_folders_and_links": [Play(name, SEED) for name in (
+            "stalled", "shared", "rolled_back", "links", "drains", "outage", "herd_slow", "clock_back", "clock_forward",
+            "notes", "disk_full", "disk_fails")],
+    }
+
+    def kept(self, plays: list[Play]) -> None:
+        for play, report in zip(plays, SIDE_BY_SIDE.reports(plays), strict=True):
+            with self.subTest(play.name):
                 self.assertFalse(report.findings, report.text())
                 self.assertGreater(report.taken, 20, report.text())
                 self.assertGreater(report.delivered, 10, report.text())
@@ -49,20 +40,21 @@
                     self.assertTrue(2 <= event.carried <= 60, event)
 
     def test_a_herd_comes_back(self) -> None:
-        self.kept("herd", "herd_damaged", "herd_silent", "herd_lowered", "herd_twice", "herd_backlog")
+        self.kept(self.plays["test_a_herd_comes_back"])
 
     def test_folders_and_links(self) -> None:
-        self.kept("stalled", "shared", "rolled_back", "links", "drains", "outage", "herd_slow",
-            "clock_back", "clock_forward", "notes", "disk_full", "disk_fails")
+        self.kept(self.plays["test_folders_and_links"])
 
 
 class Mutants(unittest.TestCase):
+    plays = {"test_each_is_found": [Play(scenario, SEED, mutant) for mutant, scenario in SHOWN_BY.items()]}
+
     def test_each_is_found(self) -> None:
         self.assertEqual(set(SHOWN_BY), set(MUTANTS))
-        plays = [(scenario, mutant) for mutant, scenario in SHOWN_BY.items()]
-        for (_, mutant), report in zip(plays, together(*plays), strict=True):
-            with self.subTest(mutant):
-                self.assertIn(MUTANTS[mutant][0], report.rules(), report.text())
+        plays = self.plays["test_each_is_found"]
+        for play, report in zip(plays, SIDE_BY_SIDE.reports(plays), strict=True):
+            with self.subTest(play.mutant):
+                self.assertIn(MUTANTS[play.mutant][0], report.rules(), report.text())
 
 
 class Leavings(unittest.TestCase):
--- a/tests/fleet/test_takeovers.py
+++ b/tests/fleet/test_takeovers.py
@@ -6,16 +6,12 @@
 import json
 import tempfile
 import unittest
-from concurrent.futures import ProcessPoolExecutor
-from multiprocessing import get_context
 from pathlib import Path
 
 from click.testing import CliRunner
-from fleet.auditor import Report
 from fleet.fleet_rig import FleetRig
+from fleet.side_by_side import SIDE_BY_SIDE, Play
 from fleet.standins import Destination
-from fleet.takeover_scenarios import TAKEOVERS
-from fleet.test_scenarios import AT_ONCE
 
 from calicohitch.commands.fleet import command
 from calicohitch.journal import Attempt, Entry, Journal, Origin
@@ -29,18 +25,16 @@
 }
 
 
-def play(name: str, seed: int) -> Report:
-    return asyncio.run(TAKEOVERS[name](seed, ""))
-
-
 class Takeovers(unittest.TestCase):
+    plays = {"test_what_was_taken_on_comes_to_its_end_once": [
+        Play(name, seed, takeover=True) for name, seeds in PLAYED.items() for seed in seeds]}
+
     def test_what_was_taken_on_comes_to_its_end_once(self) -> None:
-        plays = [(name, seed) for name, seeds in PLAYED.items() for seed in seeds]
-        with ProcessPoolExecutor(AT_ONCE, get_context("spawn")) as pool:
-            for (name, seed), report in zip(plays, pool.map(play, *zip(*plays, strict=True)), strict=True):
-                with self.subTest(name, seed=seed):
-                    self.assertFalse(report.findings, report.text())
-                    self.assertGreater(report.delivered, 10, report.text())
+        plays = self.plays["test_what_was_taken_on_comes_to_its_end_once"]
+        for play, report in zip(plays, SIDE_BY_SIDE.reports(plays), strict=True):
+            with self.subTest(play.name, seed=play.seed):
+                self.assertFalse(report.findings, report.text())
+                self.assertGreater(report.delivered, 10, report.text())
 
 
 class Looking(unittest.TestCase):
--- a/tests/grpc_/test_rude.py
+++ b/tests/grpc_/test_rude.py
@@ -16,6 +16,7 @@
 import h2.events
 from parties.grpc_world import Client, Endpoint, echo, grpc_relay
 from parties.raw_http2 import RawClient, RawServer, raw_frame
+from ports import free_port
 from test_process import Program
 from world import LIMIT, SETTINGS, World, member, play, until
 
@@ -297,9 +298,7 @@
             endpoint = Endpoint(handle)
             program = Program(world)
             operator = world.folder / "operator.kdl"
-            import socket
-            with socket.create_server(("127.0.0.1", 0)) as free:
-                port = free.getsockname()[1]
+            port = free_port()
             operator.write_text(
                 f'grpc listen="127.0.0.1:{port}" {{\n route "board.Scores" "Post" class="scores" dest=7\n'
                 ' route "board.Scores" "Enter" class="orders" dest=7\n endpoints id="g-0"\n}')
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -5,7 +5,6 @@
 import json
 import os
 import signal
-import socket
 import struct
 import subprocess
 import sys
@@ -16,6 +15,7 @@
 from pathlib import Path
 
 import anyio
+from ports import free_port
 from world import LIMIT, SETTINGS, Address, Party, Request, World, member, play, until
 
 from calicohitch import __version__
@@ -26,8 +26,7 @@
 
 class Program:
     def __init__(self, world: World) -> None:
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            world.client = Address(*free.getsockname())
+        world.client = Address("127.0.0.1", free_port())
         path = world.folder / "config.json"
         self.path, self.world = path, world
         self.arguments: list[str] = []
