A call whose connection came up late states what is left of its time

Req-Deadline-Ms, and grpc-timeout, stated the whole time of an attempt; the connect, up to 1.5 s, is a part of it, so an endpoint could go on for as long for nobody. Found while the late answers were followed. Both state what is left when the call is written. The test lets a connect take 1 s of 5; without the change: AssertionError: False is not true : 5000

--- a/calicohitch/grpc/delivery.py
+++ b/calicohitch/grpc/delivery.py
@@ -149,7 +149,8 @@
 
     async def run(self, connection: Http2Connection, address: Address, timer: anyio.CancelScope) -> Result:
         self.stream = stream = connection.open()
-        left = max(1.0, min(self._call.timeout, self._pipe.deadline - self._clock.now()))
+        left = (timer.deadline - anyio.current_time()) * 1e3  # its connection may have come up late
+        left = max(1.0, min(left, self._pipe.deadline - self._clock.now()))
         if self._pipe.streams:  # a stream may go on for as long as its client waits
             left = max(1.0, self._pipe.deadline - self._clock.now())
         headers = [
--- a/calicohitch/net/endpoints.py
+++ b/calicohitch/net/endpoints.py
@@ -25,11 +25,12 @@
 _ROOM_S = 0.02  # between two looks for a descriptor
 
 
-def headers_of(call: Call, address: Address) -> Headers:
+def headers_of(call: Call, address: Address, left: float) -> Headers:
+    """`left`: so many milliseconds its answer is still waited for."""
     named = [
         (b"Host", str(address)),
         (b"Req-Id", call.id),
-        (b"Req-Deadline-Ms", str(max(1, math.ceil(call.timeout)))),
+        (b"Req-Deadline-Ms", str(max(1, math.ceil(left)))),
     ]
     if call.key is not None:
         named.append((b"Idempotency-Key", call.key))
@@ -127,7 +128,8 @@
                 if call.marks:
                     follow(call.marks, connection, stale, self._clock)
                 made = True  # what a kept connection remembers is of this call from here on
-                response = await connection.request("POST", "/v1/messages", headers_of(call, address), call.body)
+                left = (deadline - anyio.current_time()) * 1e3  # its connection may have come up late
+                response = await connection.request("POST", "/v1/messages", headers_of(call, address, left), call.body)
         except OSError:
             if connection is not None and not made:  # `wanted` broke: no fault of the endpoint's
                 return Result(Outcome.MOOT)
--- a/tests/orders/test_attempts.py
+++ b/tests/orders/test_attempts.py
@@ -104,6 +104,30 @@
 
         self.play(test)
 
+    def test_a_call_on_a_connection_that_came_up_late_states_what_is_left_of_its_time(self) -> None:
+        """What an endpoint does behind that is for nobody."""
+        async def test(world: Scripted) -> None:
+            opened = ClientConnection.open
+
+            async def slow(*arguments: Any) -> ClientConnection:
+                began = anyio.current_time()
+                connection = await opened(*arguments)
+                while anyio.current_time() < began + 1:
+                    await anyio.sleep(0.05)
+                return connection
+
+            with mock.patch.object(ClientConnection, "open", slow):
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(world.call, 5_000)
+                    link = await world.accepted()
+                    head = (await link.receive()).lower()
+                    await link.send(OK)
+            (stated,) = [int(line[17:]) for line in head.split(b"\r\n") if line.startswith(b"req-deadline-ms: ")]
+            self.assertTrue(1 <= stated <= 4_000, stated)
+            link.close()
+
+        self.play(test)
+
     def test_an_answer_in_the_turn_in_which_the_time_is_up(self) -> None:
         """Its bytes are in the kernel when the attempt is timed out or cancelled: what is whole is believed, a wait
         that it tells above all, since that runs from its writing; of the rest a first line of 200. What would end the
