--- a/tests/fleet/side_by_side.py
+++ b/tests/fleet/side_by_side.py
@@ -12,7 +12,7 @@
 
 from fleet.auditor import Report
 
-AT_ONCE = max(2, min(5, (os.cpu_count() or 2) - 2))
+AT_ONCE = max(2, min(6, (os.cpu_count() or 2) - 2))
 
 
 class Play(NamedTuple):
