Tests read again: one in_world, one way a program ends with its test, one way to play a scenario

in_world stood in test_relay_rules and was written again in three files of tests/orders; it is in world.py, where its parts are. Three places that have more to end at the same time keep theirs; in one the last wait has a limit now that had none. side_by_side and play.py each planted a mutant and ran a scenario: played serves both, and a play needs no word on which kind it is, since the names are apart.

--- a/tests/fleet/play.py
+++ b/tests/fleet/play.py
@@ -4,7 +4,6 @@
 from __future__ import annotations
 
 import argparse
-import asyncio
 import itertools
 import sys
 import time
@@ -17,16 +16,14 @@
 
 from fleet.mutants import MUTANTS  # noqa: E402
 from fleet.scenarios import SCENARIOS  # noqa: E402
+from fleet.side_by_side import ALL, Play, played  # noqa: E402
 from fleet.takeover_scenarios import TAKEOVERS  # noqa: E402
 
-ALL = SCENARIOS | TAKEOVERS
-
 
 def play(name: str, seed: int, mutant: str, story: Path | None) -> tuple[str, str, bool]:
     """One run: its scenario, what is to be said of it, and whether anything was found."""
-    code = f"from fleet.mutants import plant; plant({mutant!r})" if mutant else ""
     try:
-        report = asyncio.run(ALL[name](seed, code))
+        report = played(Play(name, seed, mutant))
     except Exception as err:  # the rig's own expectations; the other runs go on
         return name, f"{name} seed {seed}: {type(err).__name__}: {err}", True
     if story:
--- a/tests/fleet/side_by_side.py
+++ b/tests/fleet/side_by_side.py
@@ -11,7 +11,10 @@
 from typing import NamedTuple
 
 from fleet.auditor import Report
+from fleet.scenarios import SCENARIOS
+from fleet.takeover_scenarios import TAKEOVERS
 
+ALL = SCENARIOS | TAKEOVERS
 AT_ONCE = max(2, min(6, (os.cpu_count() or 2) - 2))
 
 
@@ -19,15 +22,11 @@
     name: str
     seed: int
     mutant: str = ""  # a fault that is planted in the relays
-    takeover: bool = False
 
 
-def _played(play: Play) -> Report:
-    from fleet.scenarios import SCENARIOS
-    from fleet.takeover_scenarios import TAKEOVERS
-
+def played(play: Play) -> Report:
     code = f"from fleet.mutants import plant; plant({play.mutant!r})" if play.mutant else ""
-    return asyncio.run((TAKEOVERS if play.takeover else SCENARIOS)[play.name](play.seed, code))
+    return asyncio.run(ALL[play.name](play.seed, code))
 
 
 class _SideBySide:
@@ -41,7 +40,7 @@
         self._pool = self._pool or ProcessPoolExecutor(AT_ONCE, get_context("spawn"))
         for play in [*self.expected, *plays]:
             if play not in self._begun:
-                self._begun[play] = self._pool.submit(_played, play)
+                self._begun[play] = self._pool.submit(played, play)
         return [self._begun[play].result() for play in plays]
 
     def end(self) -> None:
--- a/tests/fleet/test_takeovers.py
+++ b/tests/fleet/test_takeovers.py
@@ -27,7 +27,7 @@
 
 class Takeovers(unittest.TestCase):
     plays = {"test_what_was_taken_on_comes_to_its_end_once": [
-        Play(name, seed, takeover=True) for name, seeds in PLAYED.items() for seed in seeds]}
+        Play(name, seed) for name, seeds in PLAYED.items() for seed in seeds]}
 
     def test_what_was_taken_on_comes_to_its_end_once(self) -> None:
         plays = self.plays["test_what_was_taken_on_comes_to_its_end_once"]
--- a/tests/grpc_/test_rude.py
+++ b/tests/grpc_/test_rude.py
@@ -17,7 +17,7 @@
 from parties.grpc_world import Client, Endpoint, echo, grpc_relay
 from parties.raw_http2 import RawClient, RawServer, raw_frame
 from ports import free_port
-from test_process import Program
+from test_process import Program, ending, exit_code
 from world import LIMIT, SETTINGS, World, member, play, until
 
 from calicohitch.grpc.codec import frame
@@ -328,8 +328,7 @@
                 self.assertEqual([err.code() for err in broken], [grpc.StatusCode.UNAVAILABLE] * 30)
                 client.channel.close()
                 release.set()
-                second = await program.start()
-                try:
+                with ending(await program.start()) as second:
                     await anyio.sleep(0.5)
                     self.assertEqual(set(effects.values()), {1})  # nobody waits: the next life does not try itself
                     client, answers = Client(front), list[Any]()
@@ -338,11 +337,7 @@
                     self.assertEqual([a[0] for a in answers], [b"done"] * 30)
                     self.assertEqual((set(effects.values()), set(keys.values())), ({2}, {2}))
                     second.send_signal(signal.SIGTERM)
-                    await until(lambda: second.poll() is not None)
-                    self.assertEqual(second.returncode, 0)
-                finally:
-                    second.kill()
-                    second.wait(LIMIT)
+                    self.assertEqual(await exit_code(second), 0)
             finally:
                 first.kill()
                 first.wait(LIMIT)
--- a/tests/intake/test_clients.py
+++ b/tests/intake/test_clients.py
@@ -15,9 +15,8 @@
 from unittest import mock
 
 import anyio
-from test_process import Program
-from test_relay_rules import in_world
-from world import LIMIT, World, member, until
+from test_process import Program, ending
+from world import LIMIT, World, in_world, member, until
 
 from calicohitch.commands import main
 from calicohitch.core.leases import Holder
@@ -210,8 +209,7 @@
         @in_world
         async def test(_: unittest.TestCase, world: World) -> None:
             program = Program(world)
-            process = await program.start()
-            try:
+            with ending(await program.start()) as process:
                 sock = connect(world, "127.0.0.2")
                 self.assertEqual((await ask(sock, "m0"))[:12], b"HTTP/1.1 202")
                 open_now = len(os.listdir(f"/proc/{process.pid}/fd"))
@@ -226,9 +224,6 @@
                 for other in crowd:
                     other.close()
                 sock.close()
-            finally:
-                process.kill()
-                process.wait()
 
         test(self)
 
--- a/tests/intake/test_readiness.py
+++ b/tests/intake/test_readiness.py
@@ -11,8 +11,7 @@
 
 import anyio
 from intake.test_clients import ask, connect
-from test_relay_rules import in_world
-from world import World, until
+from world import World, in_world, until
 
 from calicohitch.intake.readiness import Readiness
 
--- a/tests/orders/test_attempts.py
+++ b/tests/orders/test_attempts.py
@@ -9,7 +9,7 @@
 from unittest import mock
 
 import anyio
-from world import HERE, LIMIT, SETTINGS, World, member, play, until
+from world import HERE, LIMIT, SETTINGS, World, in_world, member, play, until
 
 from calicohitch.clock import Clock
 from calicohitch.config import Address
@@ -23,10 +23,6 @@
 WAIT = b"HTTP/1.1 429 Too Many Requests\r\nWait-Ms: 400\r\nContent-Length: 0\r\n\r\n"
 
 
-def in_world(test: Callable[..., Awaitable[None]]) -> Callable[[unittest.TestCase], None]:
-    return lambda self: play(lambda world: test(self, world))
-
-
 class Scripted:
     """An endpoint of which each step is the test's: it accepts, reads, writes and closes when it is told to."""
 
--- a/tests/orders/test_list.py
+++ b/tests/orders/test_list.py
@@ -5,12 +5,11 @@
 import json
 import math
 import unittest
-from collections.abc import Awaitable, Callable
 from typing import Any
 from unittest import mock
 
 import anyio
-from world import LIMIT, SETTINGS, Party, World, member, play, until
+from world import LIMIT, SETTINGS, Party, World, in_world, member, until
 
 from calicohitch.config import Address
 from calicohitch.config.settings import Names
@@ -25,10 +24,6 @@
 GRACE_S = 0.25
 
 
-def in_world(test: Callable[..., Awaitable[None]]) -> Callable[[unittest.TestCase], None]:
-    return lambda self: play(lambda world: test(self, world))
-
-
 class Silence(unittest.TestCase):
     """On a set clock: the time from the beginning of a silence to the question that is answered."""
 
--- a/tests/orders/test_restart.py
+++ b/tests/orders/test_restart.py
@@ -9,7 +9,7 @@
 from unittest import mock
 
 import anyio
-from world import LIMIT, SETTINGS, World, play, until
+from world import LIMIT, SETTINGS, World, in_world, play, until
 
 from calicohitch import interface as i
 from calicohitch.clock import ManualClock
@@ -85,50 +85,46 @@
 
                 play(test)
 
-    def test_a_refused_connect_before_the_kill_counts_as_an_attempt_that_never_ran(self) -> None:
-        async def test(world: World) -> None:
-            refused = anyio.Event()
-
-            async def refuse(*_: Any, **__: Any) -> ClientConnection:
-                refused.set()
-                raise ConnectionRefusedError
-
-            told = settings("unsafe")
-            with connects_by(refuse):
-                async with world.relay(settings=told):
-                    await world.hand_in("m0", Req_Deadline_Ms="24000")
-                    await refused.wait()
-                    await until(lambda: any(entry.attempts for entry in in_journal(world)))
-            (entry,) = in_journal(world)
-            self.assertTrue(entry.attempts)
-            self.assertEqual([(was.may_have_run, was.settled) for was in entry.attempts],
-                             [(False, True)] * len(entry.attempts))
-            async with world.relay(settings=told) as relay:
-                await until(lambda: relay.idle)
-            self.assertEqual((len(world.endpoint.requests), world.notices), (1, []))
-
-        play(test)
+    @in_world
+    async def test_a_refused_connect_before_the_kill_counts_as_an_attempt_that_never_ran(self, world: World) -> None:
+        refused = anyio.Event()
 
-    def test_the_record_comes_before_the_first_byte(self) -> None:
-        async def test(world: World) -> None:
-            written: list[int] = []
+        async def refuse(*_: Any, **__: Any) -> ClientConnection:
+            refused.set()
+            raise ConnectionRefusedError
 
-            async def hang(_request: Any) -> Any:
-                written.extend(len(entry.attempts) for entry in in_journal(world))
-                await anyio.sleep(LIMIT)
-
-            world.endpoint.handle = hang
-            told = settings("unsafe")
+        told = settings("unsafe")
+        with connects_by(refuse):
             async with world.relay(settings=told):
                 await world.hand_in("m0", Req_Deadline_Ms="24000")
-                await until(lambda: written)
-            self.assertEqual(written, [1])
-            async with world.relay(settings=told) as relay:  # it may have run, and may not go again
-                await until(lambda: relay.idle)
-            self.assertEqual((len(world.endpoint.requests), [told["outcome"] for told in world.notices]),
-                             (1, ["given_up"]))
+                await refused.wait()
+                await until(lambda: any(entry.attempts for entry in in_journal(world)))
+        (entry,) = in_journal(world)
+        self.assertTrue(entry.attempts)
+        self.assertEqual([(was.may_have_run, was.settled) for was in entry.attempts],
+                         [(False, True)] * len(entry.attempts))
+        async with world.relay(settings=told) as relay:
+            await until(lambda: relay.idle)
+        self.assertEqual((len(world.endpoint.requests), world.notices), (1, []))
 
-        play(test)
+    @in_world
+    async def test_the_record_comes_before_the_first_byte(self, world: World) -> None:
+        written: list[int] = []
+
+        async def hang(_request: Any) -> Any:
+            written.extend(len(entry.attempts) for entry in in_journal(world))
+            await anyio.sleep(LIMIT)
+
+        world.endpoint.handle = hang
+        told = settings("unsafe")
+        async with world.relay(settings=told):
+            await world.hand_in("m0", Req_Deadline_Ms="24000")
+            await until(lambda: written)
+        self.assertEqual(written, [1])
+        async with world.relay(settings=told) as relay:  # it may have run, and may not go again
+            await until(lambda: relay.idle)
+        self.assertEqual((len(world.endpoint.requests), [told["outcome"] for told in world.notices]),
+                         (1, ["given_up"]))
 
 
 class WhatIsRestoredAndUntried(unittest.TestCase):
@@ -178,36 +174,32 @@
         self.assertEqual((len(tried), world.notices), (count, []))
         self.assertEqual((counted._tried, counted._unseen), (count, 0))  # as the log tells
 
-    def test_newcomers_are_turned_away_at_the_door_before_any_of_it_is_trimmed(self) -> None:
-        async def test(world: World) -> None:
-            told = settings("safe", open_cap=16)
-            async with killed_with(world, 14, told):
-                pass
-            gate = Gate()
-            with gate.at_connects():
-                async with world.relay(settings=told) as relay:
-                    await until(lambda: gate.waiting)
-                    self.assertEqual((await world.hand_in("new")).status, 503)
-                    self.assertEqual(len(relay._open), 14)
-                    gate.opened.set()
-                    await until(lambda: relay.idle)
-                    self.assertEqual((await world.hand_in("later")).status, 202)
-            self.assertEqual(world.notices, [])
-
-        play(test)
-
-    def test_what_has_been_given_up_is_not_tried(self) -> None:
-        async def test(world: World) -> None:
-            world.clock = ManualClock()
-            told = settings("keyed", 1_000, 1_000)
-            async with killed_with(world, 3, told):
-                pass
-            world.clock.advance(1_001)
-            async with world.relay(settings=told):
-                await until(lambda: len(world.notices) == 3)
-            self.assertEqual(world.endpoint.requests, [])
+    @in_world
+    async def test_newcomers_are_turned_away_at_the_door_before_any_of_it_is_trimmed(self, world: World) -> None:
+        told = settings("safe", open_cap=16)
+        async with killed_with(world, 14, told):
+            pass
+        gate = Gate()
+        with gate.at_connects():
+            async with world.relay(settings=told) as relay:
+                await until(lambda: gate.waiting)
+                self.assertEqual((await world.hand_in("new")).status, 503)
+                self.assertEqual(len(relay._open), 14)
+                gate.opened.set()
+                await until(lambda: relay.idle)
+                self.assertEqual((await world.hand_in("later")).status, 202)
+        self.assertEqual(world.notices, [])
 
-        play(test)
+    @in_world
+    async def test_what_has_been_given_up_is_not_tried(self, world: World) -> None:
+        world.clock = ManualClock()
+        told = settings("keyed", 1_000, 1_000)
+        async with killed_with(world, 3, told):
+            pass
+        world.clock.advance(1_001)
+        async with world.relay(settings=told):
+            await until(lambda: len(world.notices) == 3)
+        self.assertEqual(world.endpoint.requests, [])
 
 
 async def silent(_request: Any) -> Any:
@@ -217,127 +209,111 @@
 
 
 class EverySendSettlesOnce(unittest.TestCase):
-    def test_a_record_that_cannot_be_written_gives_its_slot_back(self) -> None:
-        async def test(world: World) -> None:
-            async with world.relay() as relay:
-                with mock.patch.object(relay._journal, "attempt", side_effect=TypeError("not foreseen")):
-                    await world.hand_in("m0", path="/scores", Req_Deadline_Ms="1300")
-                    await until(lambda: world.notices)
-                self.assertEqual(relay._sender._slots_taken, 0)
-                await world.hand_in("m1", path="/scores")
-                await until(lambda: world.endpoint.requests)
-
-        play(test)
-
-    def test_a_record_that_a_failing_disk_refuses_is_no_call_that_may_have_run(self) -> None:
+    @in_world
+    async def test_a_record_that_cannot_be_written_gives_its_slot_back(self, world: World) -> None:
+        async with world.relay() as relay:
+            with mock.patch.object(relay._journal, "attempt", side_effect=TypeError("not foreseen")):
+                await world.hand_in("m0", path="/scores", Req_Deadline_Ms="1300")
+                await until(lambda: world.notices)
+            self.assertEqual(relay._sender._slots_taken, 0)
+            await world.hand_in("m1", path="/scores")
+            await until(lambda: world.endpoint.requests)
+
+    @in_world
+    async def test_a_record_that_a_failing_disk_refuses_is_no_call_that_may_have_run(self, world: World) -> None:
         """On a kept connection, whose last call was sent whole."""
-        async def test(world: World) -> None:
-            told = settings("unsafe")
-            async with world.relay(settings=told) as relay:
-                await world.hand_in("m0")
+        told = settings("unsafe")
+        async with world.relay(settings=told) as relay:
+            await world.hand_in("m0")
+            await until(lambda: relay.idle)
+            record, failed = relay._journal.attempt, []
+
+            def once(*rest: Any) -> None:
+                if not failed:
+                    failed.append(rest)
+                    raise OSError(5, "Input/output error")
+                record(*rest)
+
+            with mock.patch.object(relay._journal, "attempt", once):
+                await world.hand_in("m1")
                 await until(lambda: relay.idle)
-                record, failed = relay._journal.attempt, []
-
-                def once(*rest: Any) -> None:
-                    if not failed:
-                        failed.append(rest)
-                        raise OSError(5, "Input/output error")
-                    record(*rest)
-
-                with mock.patch.object(relay._journal, "attempt", once):
-                    await world.hand_in("m1")
-                    await until(lambda: relay.idle)
-            self.assertEqual([r.headers[b"req-id"] for r in world.endpoint.requests], [b"m0", b"m1"])
-            self.assertEqual((len(failed), world.notices), (1, []))
+        self.assertEqual([r.headers[b"req-id"] for r in world.endpoint.requests], [b"m0", b"m1"])
+        self.assertEqual((len(failed), world.notices), (1, []))
 
-        play(test)
-
-    def test_events_behind_one_at_which_the_decisions_broke_are_told(self) -> None:
+    @in_world
+    async def test_events_behind_one_at_which_the_decisions_broke_are_told(self, world: World) -> None:
         """An outcome among them gives its slot back."""
-        async def test(world: World) -> None:
-            release = world.hold()
-            async with world.relay() as relay:
-                await world.hand_in("m0", path="/scores")
-                await until(lambda: world.endpoint.requests)
-                feed, broken = relay.feed, i.Withdrawn(98)
-
-                def behind(*events: i.Event) -> None:
-                    feed(broken, *events)
-
-                def breaks(event: i.Withdrawn) -> None:
-                    raise IndexError
-
-                with (mock.patch.object(relay._sender, "_withdrawn", breaks), mock.patch.object(relay, "feed", behind)):
-                    release.set()
-                    await until(lambda: relay.idle)
-                    self.assertEqual(relay._sender._slots_taken, 0)
-
-        play(test)
+        release = world.hold()
+        async with world.relay() as relay:
+            await world.hand_in("m0", path="/scores")
+            await until(lambda: world.endpoint.requests)
+            feed, broken = relay.feed, i.Withdrawn(98)
 
-    def test_a_send_of_a_message_that_is_not_there_gives_its_slot_back(self) -> None:
-        async def test(world: World) -> None:
-            async with world.relay() as relay:
-                relay.feed(i.Arrived(99, 1, 7, 3_000_000))  # the decisions have it, and the relay does not
-                await until(lambda: 99 not in relay._sender._open)
-                self.assertEqual((relay._sender._slots_taken, world.endpoint.requests), (0, []))
-
-        play(test)
-
-    def test_what_was_decided_before_the_decisions_broke_is_carried_out(self) -> None:
-        async def test(world: World) -> None:
-            async with world.relay() as relay:
-                with mock.patch.object(relay._sender, "_arm", side_effect=IndexError):
-                    await world.hand_in("m0", path="/scores")
-                    await until(lambda: world.endpoint.requests)
-                    await until(lambda: relay.idle)
-                self.assertEqual((relay._sender._slots_taken, world.notices), (0, []))
+            def behind(*events: i.Event) -> None:
+                feed(broken, *events)
 
-        play(test)
+            def breaks(event: i.Withdrawn) -> None:
+                raise IndexError
 
-    def test_an_outcome_that_cannot_be_written_is_told_all_the_same(self) -> None:
-        async def test(world: World) -> None:
-            world.answers = [(500, {}, b"")]
-            async with world.relay() as relay:
-                with mock.patch.object(relay._journal, "outcome", side_effect=TypeError("not foreseen")):
-                    await world.hand_in("m0", path="/scores")
-                    await until(lambda: relay.idle)
+            with (mock.patch.object(relay._sender, "_withdrawn", breaks), mock.patch.object(relay, "feed", behind)):
+                release.set()
+                await until(lambda: relay.idle)
                 self.assertEqual(relay._sender._slots_taken, 0)
-            self.assertEqual(len(world.endpoint.requests), 2)
 
-        play(test)
+    @in_world
+    async def test_a_send_of_a_message_that_is_not_there_gives_its_slot_back(self, world: World) -> None:
+        async with world.relay() as relay:
+            relay.feed(i.Arrived(99, 1, 7, 3_000_000))  # the decisions have it, and the relay does not
+            await until(lambda: 99 not in relay._sender._open)
+            self.assertEqual((relay._sender._slots_taken, world.endpoint.requests), (0, []))
+
+    @in_world
+    async def test_what_was_decided_before_the_decisions_broke_is_carried_out(self, world: World) -> None:
+        async with world.relay() as relay:
+            with mock.patch.object(relay._sender, "_arm", side_effect=IndexError):
+                await world.hand_in("m0", path="/scores")
+                await until(lambda: world.endpoint.requests)
+                await until(lambda: relay.idle)
+            self.assertEqual((relay._sender._slots_taken, world.notices), (0, []))
+
+    @in_world
+    async def test_an_outcome_that_cannot_be_written_is_told_all_the_same(self, world: World) -> None:
+        world.answers = [(500, {}, b"")]
+        async with world.relay() as relay:
+            with mock.patch.object(relay._journal, "outcome", side_effect=TypeError("not foreseen")):
+                await world.hand_in("m0", path="/scores")
+                await until(lambda: relay.idle)
+            self.assertEqual(relay._sender._slots_taken, 0)
+        self.assertEqual(len(world.endpoint.requests), 2)
 
 
 class AnEndDuringAConnect(unittest.TestCase):
-    def test_no_call_follows_an_end_that_was_told(self) -> None:
-        async def test(world: World) -> None:
-            world.clock = ManualClock()
-            gate = Gate()
-            with gate.at_connects():
-                async with world.relay() as relay:  # whose settings do not let it cancel a call
-                    await world.hand_in("m0", path="/scores")
-                    await until(lambda: gate.waiting)
-                    world.clock.advance(5_500)
-                    await until(lambda: world.notices)
-                    gate.opened.set()
-                    await until(lambda: not relay._sender._slots_taken)
-            self.assertEqual(world.endpoint.requests, [])
-
-        play(test)
-
-    def test_a_call_without_time_left_is_not_made(self) -> None:
-        async def test(world: World) -> None:
-            world.clock = ManualClock()
-            gate = Gate()
-            with gate.at_connects():
-                async with world.relay() as relay:
-                    await world.hand_in("m0", path="/scores")
-                    await until(lambda: gate.waiting)
-                    world.clock.advance(5_000)  # its time is up to the millisecond, and its end not told yet
-                    gate.opened.set()
-                    await until(lambda: not relay._sender._slots_taken)
-            self.assertEqual(world.endpoint.requests, [])
-
-        play(test)
+    @in_world
+    async def test_no_call_follows_an_end_that_was_told(self, world: World) -> None:
+        world.clock = ManualClock()
+        gate = Gate()
+        with gate.at_connects():
+            async with world.relay() as relay:  # whose settings do not let it cancel a call
+                await world.hand_in("m0", path="/scores")
+                await until(lambda: gate.waiting)
+                world.clock.advance(5_500)
+                await until(lambda: world.notices)
+                gate.opened.set()
+                await until(lambda: not relay._sender._slots_taken)
+        self.assertEqual(world.endpoint.requests, [])
+
+    @in_world
+    async def test_a_call_without_time_left_is_not_made(self, world: World) -> None:
+        world.clock = ManualClock()
+        gate = Gate()
+        with gate.at_connects():
+            async with world.relay() as relay:
+                await world.hand_in("m0", path="/scores")
+                await until(lambda: gate.waiting)
+                world.clock.advance(5_000)  # its time is up to the millisecond, and its end not told yet
+                gate.opened.set()
+                await until(lambda: not relay._sender._slots_taken)
+        self.assertEqual(world.endpoint.requests, [])
 
 
 if __name__ == "__main__":
--- a/tests/orders/test_shutdown.py
+++ b/tests/orders/test_shutdown.py
@@ -7,13 +7,12 @@
 import sys
 import tomllib
 import unittest
-from collections.abc import Awaitable, Callable
 from typing import Any
 from unittest import mock
 
 import anyio
-from test_process import ROOT, Program
-from world import LIMIT, Party, World, play, until
+from test_process import ROOT, Program, ending, exit_code
+from world import LIMIT, Party, World, in_world, play, until
 
 from calicohitch.net import notices
 from calicohitch.net import relay as relay_module
@@ -25,10 +24,6 @@
 WHOLE = HEAD + b"\r\n"
 
 
-def in_world(test: Callable[..., Awaitable[None]]) -> Callable[[unittest.TestCase], None]:
-    return lambda self: play(lambda world: test(self, world))
-
-
 class Signals(unittest.TestCase):
     def test_more_signals_during_a_drain_end_nothing(self) -> None:
         for more in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
@@ -36,8 +31,7 @@
                 async def test(world: World, more: signal.Signals = more) -> None:
                     release = world.hold()
                     program = Program(world)
-                    process = await program.start()
-                    try:
+                    with ending(await program.start()) as process:
                         self.assertEqual((await world.hand_in(Req_Deadline_Ms="20000")).status, 202)
                         await until(lambda: world.endpoint.requests)
                         process.send_signal(signal.SIGTERM)
@@ -46,87 +40,62 @@
                             process.send_signal(more)
                             self.assertEqual((await world.hand_in("a2")).status, 503)  # it goes on
                         release.set()
-                        await until(lambda: process.poll() is not None)
-                        self.assertEqual(process.returncode, 0)
-                    finally:
-                        process.kill()
-                        process.wait(LIMIT)
+                        self.assertEqual(await exit_code(process), 0)
 
                 play(test)
 
-    def test_a_stop_before_the_service_hears_signals_is_a_clean_one(self) -> None:
+    @in_world
+    async def test_a_stop_before_the_service_hears_signals_is_a_clean_one(self, world: World) -> None:
         """Sent by the process itself from inside an early import, so that the order is the same each time."""
-        async def test(world: World) -> None:
-            program = Program(world)
-            code = ("import os, signal, runpy, sys\n"
-                    "class Early:\n"
-                    "    def find_spec(self, name, path=None, target=None):\n"
-                    "        if name == 'calicohitch.service': os.kill(os.getpid(), signal.SIGTERM)\n"
-                    "sys.meta_path.insert(0, Early()); sys.argv[1:] = ['serve']\n"
-                    "runpy.run_module('calicohitch', run_name='__main__')\n")
-            process = program.spawn([sys.executable, "-c", code])
-            try:
-                await until(lambda: process.poll() is not None)
-                self.assertEqual(process.returncode, 0)
-            finally:
-                process.kill()
-                process.wait(LIMIT)
-
-        play(test)
-
-    def test_a_new_configuration_before_the_first_line_of_the_program(self) -> None:
+        program = Program(world)
+        code = ("import os, signal, runpy, sys\n"
+                "class Early:\n"
+                "    def find_spec(self, name, path=None, target=None):\n"
+                "        if name == 'calicohitch.service': os.kill(os.getpid(), signal.SIGTERM)\n"
+                "sys.meta_path.insert(0, Early()); sys.argv[1:] = ['serve']\n"
+                "runpy.run_module('calicohitch', run_name='__main__')\n")
+        with ending(program.spawn([sys.executable, "-c", code])) as process:
+            self.assertEqual(await exit_code(process), 0)
+
+    @in_world
+    async def test_a_new_configuration_before_the_first_line_of_the_program(self, world: World) -> None:
         """The deployment's own command; the process sends the signal to itself while its interpreter starts, before any
         line of the relay is read."""
-        async def test(world: World) -> None:
-            program = Program(world)
-            (world.folder / "sitecustomize.py").write_text(
-                "import os, signal, sys\nsys.argv[0] != '-m' or os.kill(os.getpid(), signal.SIGHUP)\n")
-            run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
-            self.assertIn(".venv/bin/python", run)
-            command = run.replace(".venv/bin/python", sys.executable)
-            process = program.spawn(["/bin/sh", "-c", command], PYTHONPATH=str(world.folder))
-            try:
-                await until(lambda: process.poll() is not None or world.platform.requests)
-                self.assertIsNone(process.returncode)
-                await program.until_ready()
-                moved = Party(world.platform.handle)
-                program.say({"discovery": str(moved.address)})
-                async with anyio.create_task_group() as tasks:
-                    tasks.start_soon(moved.run)
-                    process.send_signal(signal.SIGHUP)  # and later ones are heard
-                    await until(lambda: moved.requests)
-                    tasks.cancel_scope.cancel()
-                moved.listener.close()
-                process.send_signal(signal.SIGTERM)
-                await until(lambda: process.poll() is not None)
-                self.assertEqual(process.returncode, 0)
-            finally:
-                process.kill()
-                process.wait(LIMIT)
-
-        play(test)
-
-    def test_a_signal_after_the_service_ends_nothing_badly(self) -> None:
-        async def test(world: World) -> None:
-            program = Program(world)
-            code = ("import os, signal, runpy, sys, anyio\n"
-                    "run = anyio.run\n"
-                    "def late(*args, **more):\n"
-                    "    run(*args, **more)\n"
-                    "    for n in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT): os.kill(os.getpid(), n)\n"
-                    "anyio.run = late; sys.argv[1:] = ['serve']\n"
-                    "runpy.run_module('calicohitch', run_name='__main__')\n")
-            process = program.spawn([sys.executable, "-c", code])
-            try:
-                await program.until_ready()
-                process.send_signal(signal.SIGTERM)
-                await until(lambda: process.poll() is not None)
-                self.assertEqual(process.returncode, 0)
-            finally:
-                process.kill()
-                process.wait(LIMIT)
-
-        play(test)
+        program = Program(world)
+        (world.folder / "sitecustomize.py").write_text(
+            "import os, signal, sys\nsys.argv[0] != '-m' or os.kill(os.getpid(), signal.SIGHUP)\n")
+        run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
+        self.assertIn(".venv/bin/python", run)
+        command = run.replace(".venv/bin/python", sys.executable)
+        with ending(program.spawn(["/bin/sh", "-c", command], PYTHONPATH=str(world.folder))) as process:
+            await until(lambda: process.poll() is not None or world.platform.requests)
+            self.assertIsNone(process.returncode)
+            await program.until_ready()
+            moved = Party(world.platform.handle)
+            program.say({"discovery": str(moved.address)})
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(moved.run)
+                process.send_signal(signal.SIGHUP)  # and later ones are heard
+                await until(lambda: moved.requests)
+                tasks.cancel_scope.cancel()
+            moved.listener.close()
+            process.send_signal(signal.SIGTERM)
+            self.assertEqual(await exit_code(process), 0)
+
+    @in_world
+    async def test_a_signal_after_the_service_ends_nothing_badly(self, world: World) -> None:
+        program = Program(world)
+        code = ("import os, signal, runpy, sys, anyio\n"
+                "run = anyio.run\n"
+                "def late(*args, **more):\n"
+                "    run(*args, **more)\n"
+                "    for n in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT): os.kill(os.getpid(), n)\n"
+                "anyio.run = late; sys.argv[1:] = ['serve']\n"
+                "runpy.run_module('calicohitch', run_name='__main__')\n")
+        with ending(program.spawn([sys.executable, "-c", code])) as process:
+            await program.until_ready()
+            process.send_signal(signal.SIGTERM)
+            self.assertEqual(await exit_code(process), 0)
 
 
 async def answer_on(link: Link) -> bytes:
@@ -220,8 +189,7 @@
     @in_world
     async def test_the_program_answers_to_its_last_moment(self, world: World) -> None:
         program = Program(world)
-        process = await program.start()
-        try:
+        with ending(await program.start()) as process:
             silent = [await Link.connect(world.client) for _ in range(4)]
             process.send_signal(signal.SIGTERM)
             statuses = await one_after_the_other(world)
@@ -232,11 +200,7 @@
             self.assertEqual(set(statuses) - {b"202"}, {b"503"})
             for link in silent:
                 link.close()
-            await until(lambda: process.poll() is not None)
-            self.assertEqual(process.returncode, 0)
-        finally:
-            process.kill()
-            process.wait(LIMIT)
+            self.assertEqual(await exit_code(process), 0)
 
 
 class UnreadBytes(unittest.TestCase):
@@ -374,36 +338,34 @@
     """A message has to be ended 300 ms after its time, by a guard that looks now and then, over a connection that hangs
     once."""
 
-    def test_the_waits_in_a_row_leave_room(self) -> None:
-        async def test(world: World) -> None:
-            limits: list[float] = []
-
-            async def hangs_once(_self: Any, *_args: Any, **_more: Any) -> Any:
-                limits.append(_args[2])
-                if len(limits) == 1:
-                    raise TimeoutError
-                return mock.Mock(status=204)
-
-            told: list[int] = []
-            sleeps: list[float] = []
-            sleep = anyio.sleep
-
-            async def slept(seconds: float) -> None:
-                sleeps.append(seconds)
-                await sleep(seconds)
-
-            with mock.patch("calicohitch.net.http.KeptConnection.request", hangs_once), \
-                    mock.patch("calicohitch.net.notices.anyio.sleep", slept):
-                sender = notices.Notices(world.platform.address, told.append)
-                sender.add(notices.Notice(1, "a1", notices.End(False)))
-                async with anyio.create_task_group() as tasks:
-                    tasks.start_soon(sender.run)
-                    await until(lambda: told)
-                    tasks.cancel_scope.cancel()
-            spent = limits[0] * 1e3 + sum(sleeps) * 1e3 + 2 * relay_module._OVERDUE_MS
-            self.assertLessEqual(spent, 250)
-
-        play(test)
+    @in_world
+    async def test_the_waits_in_a_row_leave_room(self, world: World) -> None:
+        limits: list[float] = []
+
+        async def hangs_once(_self: Any, *_args: Any, **_more: Any) -> Any:
+            limits.append(_args[2])
+            if len(limits) == 1:
+                raise TimeoutError
+            return mock.Mock(status=204)
+
+        told: list[int] = []
+        sleeps: list[float] = []
+        sleep = anyio.sleep
+
+        async def slept(seconds: float) -> None:
+            sleeps.append(seconds)
+            await sleep(seconds)
+
+        with mock.patch("calicohitch.net.http.KeptConnection.request", hangs_once), \
+                mock.patch("calicohitch.net.notices.anyio.sleep", slept):
+            sender = notices.Notices(world.platform.address, told.append)
+            sender.add(notices.Notice(1, "a1", notices.End(False)))
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(sender.run)
+                await until(lambda: told)
+                tasks.cancel_scope.cancel()
+        spent = limits[0] * 1e3 + sum(sleeps) * 1e3 + 2 * relay_module._OVERDUE_MS
+        self.assertLessEqual(spent, 250)
 
 
 class TheSubmission(unittest.TestCase):
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -10,8 +10,7 @@
 
 import anyio
 
-from test_relay_rules import in_world
-from world import SETTINGS, Answer, Party, World, member, until
+from world import SETTINGS, Answer, Party, World, in_world, member, until
 
 from calicohitch.core.backoff import Backoff
 from calicohitch.net.http import Request
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -11,7 +11,8 @@
 import tempfile
 import unittest
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from pathlib import Path
 
 import anyio
@@ -66,6 +67,22 @@
             connection.close()
 
 
+@contextmanager
+def ending(process: subprocess.Popen[bytes]) -> Iterator[subprocess.Popen[bytes]]:
+    """However a test ends, so does the program that it started."""
+    try:
+        yield process
+    finally:
+        process.kill()
+        process.wait(LIMIT)
+
+
+async def exit_code(process: subprocess.Popen[bytes]) -> int | None:
+    """Once it has ended by itself."""
+    await until(lambda: process.poll() is not None)
+    return process.returncode
+
+
 class Lives(unittest.TestCase):
     def test_a_killed_relay_delivers_what_it_had_taken_on(self) -> None:
         async def test(world: World) -> None:
@@ -81,16 +98,12 @@
             await until(lambda: world.endpoint.requests)
             first.kill()
             first.wait(LIMIT)
-            second = await program.start()
-            try:
+            with ending(await program.start()) as second:
                 await until(lambda: len(world.endpoint.requests) == 2)
                 self.assertEqual(world.endpoint.requests[1].headers[b"req-id"], b"a1")
                 second.send_signal(signal.SIGTERM)
                 await until(lambda: second.poll() is not None)
                 self.assertEqual((second.returncode, world.notices), (0, []))
-            finally:
-                second.kill()
-                second.wait(LIMIT)
 
         play(test)
 
@@ -98,19 +111,14 @@
         async def test(world: World) -> None:
             release = world.hold()
             program = Program(world)
-            process = await program.start()
-            try:
+            with ending(await program.start()) as process:
                 await world.hand_in(Req_Deadline_Ms="20000")
                 process.send_signal(signal.SIGTERM)
                 await program.until_ready(False)
                 self.assertEqual((await world.hand_in("a2")).status, 503)
                 self.assertIsNone(process.poll())
                 release.set()
-                await until(lambda: process.poll() is not None)
-                self.assertEqual(process.returncode, 0)
-            finally:
-                process.kill()
-                process.wait(LIMIT)
+                self.assertEqual(await exit_code(process), 0)
 
         play(test)
 
--- a/tests/test_relay_rules.py
+++ b/tests/test_relay_rules.py
@@ -4,14 +4,13 @@
 
 import errno
 import unittest
-from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from pathlib import Path
 from unittest import mock
 
 import anyio
 from loguru import logger
-from world import HERE, LIMIT, Party, World, member, play, until
+from world import HERE, LIMIT, Party, World, in_world, member, until
 
 from calicohitch import interface as i
 from calicohitch.clock import ManualClock, to_micros
@@ -24,10 +23,6 @@
 from calicohitch.net.http import Link, Request, listen
 
 
-def in_world(test: Callable[..., Awaitable[None]]) -> Callable[[unittest.TestCase], None]:
-    return lambda self: play(lambda world: test(self, world))
-
-
 def left_open(folder: Path) -> int:
     journal = Journal(folder, 3e6)
     journal.close()
--- a/tests/tracing/test_hops.py
+++ b/tests/tracing/test_hops.py
@@ -14,7 +14,7 @@
 
 import anyio
 from parties.collector import Collector, attributes
-from test_process import ROOT, Program
+from test_process import ROOT, Program, ending, exit_code
 from test_relay_rules import left_open
 from tracing.test_spans import late_one
 from world import LIMIT, SETTINGS, World, member, play, until
@@ -245,15 +245,10 @@
                 first.kill()
                 first.wait(LIMIT)
                 self.assertEqual(collector.spans, [])
-                second = await program.start()
-                try:
+                with ending(await program.start()) as second:
                     await until(lambda: len(world.endpoint.requests) == 2)
                     second.send_signal(signal.SIGTERM)  # what was not exported by now is flushed
-                    await until(lambda: second.poll() is not None)
-                    self.assertEqual(second.returncode, 0)
-                finally:
-                    second.kill()
-                    second.wait(LIMIT)
+                    self.assertEqual(await exit_code(second), 0)
                 tasks.cancel_scope.cancel()
             collector.listener.close()
             ids = [span.span_id for span in collector.spans]
--- a/tests/world.py
+++ b/tests/world.py
@@ -4,6 +4,7 @@
 
 import json
 import tempfile
+import unittest
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -183,3 +184,8 @@
             world.platform.listener.close()
 
     anyio.run(run)
+
+
+def in_world(test: Callable[..., Awaitable[None]]) -> Callable[[unittest.TestCase], None]:
+    """A test case's method that is given a world of its own."""
+    return lambda self: play(lambda world: test(self, world))
