--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+import known_red
 import pytest
 from fleet.side_by_side import SIDE_BY_SIDE
 
@@ -105,3 +106,7 @@
 
 def pytest_sessionfinish() -> None:
     SIDE_BY_SIDE.end()
+
+
+def pytest_configure(config: pytest.Config) -> None:
+    config.pluginmanager.register(known_red.Plugin(known_red.read()), "known red")
--- /dev/null
+++ b/tests/faults/test_folder.py
@@ -0,0 +1,183 @@
+"""A folder that refuses for a moment, at a start and in a running relay; whoever owns it keeps it, and nobody else."""
+
+from __future__ import annotations
+
+import errno
+import os
+import signal
+import sys
+import tempfile
+import time
+import unittest
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+import anyio
+from test_process import Program, ending, exit_code
+from recovery.test_claim import Time
+from world import World, in_world, play
+
+from calicohitch.journal import Entry, Journal
+from calicohitch.recovery.claim import EXPIRED_S, TERM_S, Watcher, claimed
+from calicohitch.recovery.problems import FolderLost, FolderProblem
+
+AWAY_S = 0.6
+
+
+def entry(number: int) -> Entry:
+    return Entry(number, f"m{number}", "orders", 7, 5e12 + number, None, b"body")
+
+
+def for_a_while(real: Any, error: int, away_s: float = AWAY_S) -> Any:
+    until = time.monotonic() + away_s
+
+    def call(*args: Any, **more: Any) -> Any:
+        if time.monotonic() < until:
+            raise OSError(error, os.strerror(error))
+        return real(*args, **more)
+
+    return call
+
+
+class AtAStart(unittest.TestCase):
+    def setUp(self) -> None:
+        made = tempfile.TemporaryDirectory()
+        self.addCleanup(made.cleanup)
+        self.folder = Path(made.name) / "state"
+
+    def test_it_waits_for_a_folder_that_refuses_for_a_moment(self) -> None:
+        for name, error in (("open", errno.ENOSPC), ("pwrite", errno.EIO), ("open", errno.ENFILE),
+                            ("listdir", errno.EMFILE), ("unlink", errno.EIO)):
+            with self.subTest(call=name, error=errno.errorcode[error]):
+                Watcher(self.folder).look().close()  # type: ignore[union-attr]
+                with mock.patch.object(os, name, for_a_while(getattr(os, name), error)):
+                    claim = anyio.run(claimed, self.folder, 5.0)
+                claim.check()
+                claim.close()
+
+    def test_it_says_at_once_what_no_waiting_mends(self) -> None:
+        for error in (errno.EROFS, errno.EACCES):
+            began = time.monotonic()
+            with (mock.patch.object(os, "open", side_effect=OSError(error, os.strerror(error))),
+                  self.assertRaises(FolderProblem)):
+                anyio.run(claimed, self.folder, 5.0)
+            self.assertLess(time.monotonic() - began, 1.0)
+
+    def test_a_segment_that_cannot_be_read_for_a_moment_is_read(self) -> None:
+        async def test(world: World) -> None:
+            journal = Journal(world.folder / "state", 3e6)
+            journal.taken(Entry(1, "m1", "orders", 7, world.clock.now() + 20_000, "k", b"body"))
+            journal.close()
+            program = Program(world)
+            code = ("import io, os, runpy, sys\n"
+                    "real, left = io.open, [3]\n"
+                    "def failing(path, *rest, **more):\n"
+                    "    if 'journal-' in str(path) and left[0]:\n"
+                    "        left[0] -= 1\n"
+                    "        raise OSError(5, 'Input/output error')\n"
+                    "    return real(path, *rest, **more)\n"
+                    "io.open = failing; sys.argv[1:] = ['serve']\n"
+                    "runpy.run_module('calicohitch', run_name='__main__')\n")
+            with ending(program.spawn([sys.executable, "-c", code])) as process:
+                await program.until_ready()
+                with anyio.move_on_after(5):
+                    while not world.endpoint.requests:
+                        await anyio.sleep(0.01)
+                process.send_signal(signal.SIGTERM)
+                await exit_code(process)
+            self.assertEqual([request.headers[b"req-id"] for request in world.endpoint.requests], [b"m1"])
+
+        play(test)
+
+
+class InARunningRelay(unittest.TestCase):
+    def setUp(self) -> None:
+        made = tempfile.TemporaryDirectory()
+        self.addCleanup(made.cleanup)
+        self.folder = Path(made.name) / "state"
+        self.mono, self.wall = Time(), Time(1_000.0)
+
+    def watcher(self) -> Watcher:
+        return Watcher(self.folder, self.mono, self.wall)
+
+    def test_a_claim_is_proved_without_the_disk(self) -> None:
+        owner = self.watcher().look()
+        assert owner
+        self.addCleanup(owner.close)
+        journal = Journal(self.folder, 3e6, owner.life, owner.check)
+        self.addCleanup(journal.close)
+        refuses = mock.Mock(side_effect=OSError(errno.EIO, "Input/output error"))
+        for names in (("pwrite",), ("pwrite", "open"), ("pwrite", "open", "listdir")):
+            with self.subTest(names=names):
+                patches = [mock.patch.object(os, name, refuses) for name in names]
+                for patch in patches:
+                    patch.start()
+                    self.addCleanup(patch.stop)
+                self.mono.now += TERM_S + 0.1
+                owner.renew()
+                self.assertTrue(journal.may_act())
+                owner.check()
+
+    def test_whoever_was_replaced_meanwhile_sends_nothing(self) -> None:
+        owner, other = self.watcher().look(), self.watcher()
+        assert owner
+        self.addCleanup(owner.close)
+        journal = Journal(self.folder, 3e6, owner.life, owner.check)
+        self.addCleanup(journal.close)
+        refuses = OSError(errno.EIO, "Input/output error")
+        real = os.pwrite
+        with mock.patch.object(os, "pwrite", lambda fd, *rest: self._unless(fd == owner._fd, refuses, real, fd, *rest)):
+            self.assertIsNone(other.look())
+            self.mono.now += EXPIRED_S + 0.1
+            owner.renew()
+            later = other.look()
+            assert later
+            self.addCleanup(later.close)
+            self.assertFalse(journal.may_act())
+            with self.assertRaises(FolderLost):
+                owner.check()
+            later.check()
+
+    @staticmethod
+    def _unless(fails: bool, error: OSError, real: Any, *args: Any) -> Any:
+        if fails:
+            raise error
+        return real(*args)
+
+    @in_world
+    async def test_ends_go_out_in_their_time_on_a_disk_that_refuses(self, world: World) -> None:
+        """The whole program: writes to its folder fail from some moment on, for longer than a claim's term."""
+        program = Program(world)
+        sign = world.folder / "refuses"
+        code = ("import os, runpy, sys\n"
+                "def failing(real):\n"
+                "    def call(fd, *rest):\n"
+                f"        if os.path.exists({str(sign)!r}) and os.path.isfile(f'/proc/self/fd/{{fd}}'):\n"
+                "            raise OSError(5, 'Input/output error')\n"
+                "        return real(fd, *rest)\n"
+                "    return call\n"
+                "os.write, os.pwrite, os.ftruncate = map(failing, (os.write, os.pwrite, os.ftruncate))\n"
+                "sys.argv[1:] = ['serve']\n"
+                "runpy.run_module('calicohitch', run_name='__main__')\n")
+        world.hold()
+        with ending(program.spawn([sys.executable, "-c", code])) as process:
+            await program.until_ready()
+            began = time.monotonic()
+            self.assertEqual((await world.hand_in("m0", Req_Deadline_Ms="3500")).status, 202)
+            with anyio.fail_after(5):
+                while not world.endpoint.requests:
+                    await anyio.sleep(0.01)
+            sign.touch()
+            with anyio.move_on_after(6):
+                while not world.notices:
+                    await anyio.sleep(0.01)
+            self.assertTrue(world.notices, "no end came")
+            self.assertLess(time.monotonic() - began, 3.5 + 0.35)
+            sign.unlink()
+            process.kill()
+            process.wait(10)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/faults/test_records_owed.py
@@ -0,0 +1,186 @@
+"""Records that the disk refuses: they are owed, in order, and nothing that had an end is sent again."""
+
+from __future__ import annotations
+
+import errno
+import os
+import tempfile
+import unittest
+from collections.abc import Iterator
+from contextlib import contextmanager, suppress
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+import anyio
+from orders.test_restart import Gate, settings
+from world import World, in_world, until
+
+from calicohitch import interface as i
+from calicohitch.journal import Attempt, End, Entry, Journal, JournalFull
+
+
+def entry(number: int) -> Entry:
+    return Entry(number, f"m{number}", "orders", 7, 5e12 + number, None, b"body")
+
+
+class Disk:
+    """Writes to files fail while it `refuses`; sockets are left alone."""
+
+    def __init__(self, error: int = errno.EIO) -> None:
+        self.refuses, self._error = False, error
+
+    @contextmanager
+    def failing(self) -> Iterator[Disk]:
+        real_write, real_pwrite = os.write, os.pwrite
+
+        def write(fd: int, data: bytes) -> int:
+            self._check(fd)
+            return real_write(fd, data)
+
+        def pwrite(fd: int, data: bytes, offset: int) -> int:
+            self._check(fd)
+            return real_pwrite(fd, data, offset)
+
+        with mock.patch.object(os, "write", write), mock.patch.object(os, "pwrite", pwrite):
+            yield self
+
+    def _check(self, fd: int) -> None:
+        if self.refuses and os.path.isfile(f"/proc/self/fd/{fd}"):
+            raise OSError(self._error, os.strerror(self._error))
+
+
+class InTheJournal(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+
+    def again(self) -> Journal:
+        journal = Journal(self.folder, 3e6)
+        self.addCleanup(journal.close)
+        return journal
+
+    def refused(self, record: Any, *args: Any, times: int = 1) -> None:
+        """One record that the disk refuses so often."""
+        real, left = os.write, [times]
+
+        def write(fd: int, data: bytes) -> int:
+            if left[0]:
+                left[0] -= 1
+                raise OSError(errno.EIO, "Input/output error")
+            return real(fd, data)
+
+        with mock.patch.object(os, "write", write), suppress(JournalFull):
+            record(*args)
+
+    def test_what_was_refused_is_written_before_what_comes_next(self) -> None:
+        journal = self.again()
+        for number in (1, 2, 3):
+            journal.taken(entry(number))
+        journal.attempt(3, 0, 12.0, 0)
+        self.refused(journal.end, 1, End(True, 250.0))
+        self.refused(journal.closed, 2)
+        self.refused(journal.outcome, 3, 0, False)
+        for number in range(4, 41):
+            journal.taken(entry(number))
+        known = self.again()
+        self.assertEqual(known.entries[1].end, End(True, 250.0))
+        self.assertNotIn(2, known.entries)
+        self.assertEqual(known.entries[3].attempts, [Attempt(12.0, 0, may_have_run=False, settled=True)])
+        self.assertEqual(len(known.entries), 39)
+
+    def test_nothing_new_is_taken_on_or_tried_before_it(self) -> None:
+        """What depends on an owed record is refused as long as that one is."""
+        journal = self.again()
+        journal.taken(entry(1))
+        journal.taken(entry(2))
+        disk = Disk()
+        with disk.failing():
+            disk.refuses = True
+            with suppress(JournalFull):
+                journal.end(1, End(True))
+            with self.assertRaises(JournalFull):
+                journal.taken(entry(3))
+            with self.assertRaises(JournalFull):
+                journal.attempt(2, 0, 5.0, 0)
+            disk.refuses = False
+            journal.attempt(2, 0, 6.0, 0)
+        known = self.again()
+        self.assertEqual(known.entries[1].end, End(True))
+        self.assertEqual(known.entries[2].attempts, [Attempt(6.0, 0)])
+
+    def test_a_short_write_is_gone_on_with(self) -> None:
+        """POSIX: a write may take fewer bytes than it was given, on a disk that has room."""
+        real = os.write
+        journal = self.again()
+        with mock.patch.object(os, "write", lambda fd, data: real(fd, bytes(data)[: max(1, len(data) // 2)])):
+            journal.taken(entry(1))
+            journal.attempt(1, 0, 5.0, 0)
+        (known,) = self.again().entries.values()
+        self.assertEqual((known.body, known.attempts), (b"body", [Attempt(5.0, 0)]))
+
+
+class AtTheRelay(unittest.TestCase):
+    @in_world
+    async def test_what_was_handed_back_is_not_sent_by_the_next_life(self, world: World) -> None:
+        """Its client may have handed it in elsewhere by then."""
+        for effect in ("unsafe", "keyed"):
+            with self.subTest(effect=effect):
+                world.notices.clear()
+                world.endpoint.requests.clear()
+                told, gate, disk = settings(effect), Gate(), Disk()
+                with disk.failing(), gate.at_connects():
+                    async with world.relay(settings=told) as relay:
+                        await world.hand_in(f"{effect}-0", Req_Deadline_Ms="24000")
+                        await until(lambda gate=gate: gate.waiting)
+                        disk.refuses = True
+                        (number,) = relay._open
+                        relay.feed(i.Withdrawn(number))
+                        relay._end(number, End(True, 100.0))
+                        for _ in range(20):  # turns of all that could send the notice
+                            await anyio.sleep(0.01)
+                        handed_back = list(world.notices)
+                    disk.refuses = False
+                async with world.relay(settings=told) as relay:
+                    await until(lambda relay=relay: relay.idle)
+                sent = len(world.endpoint.requests)
+                self.assertFalse(handed_back and sent, f"{handed_back} and then sent {sent} times")
+                self.assertTrue(world.notices or sent)
+
+    @in_world
+    async def test_an_end_waits_for_the_disk_no_longer_than_its_message_has_time(self, world: World) -> None:
+        gate, disk = Gate(), Disk()
+        with disk.failing(), gate.at_connects():
+            async with world.relay(settings=settings("unsafe")) as relay:
+                await world.hand_in("m0", Req_Deadline_Ms="700")
+                await until(lambda: gate.waiting)
+                (message,) = relay._open.values()
+                disk.refuses = True
+                await until(lambda: world.notices)
+                late = world.clock.now() - message.entry.deadline
+                self.assertLess(late, 300.0)
+                self.assertEqual(world.notices[0]["message"], "m0")
+                disk.refuses = False
+                await until(lambda: relay.idle)
+        self.assertEqual(Journal(world.folder, 3e6).entries, {})
+
+    @in_world
+    async def test_an_end_goes_out_once_the_disk_takes_its_record(self, world: World) -> None:
+        gate, disk = Gate(), Disk()
+        with disk.failing(), gate.at_connects():
+            async with world.relay(settings=settings("unsafe")) as relay:
+                await world.hand_in("m0", Req_Deadline_Ms="20000")
+                await until(lambda: gate.waiting)
+                (number,) = relay._open
+                disk.refuses = True
+                relay.feed(i.Withdrawn(number))
+                relay._end(number, End(True, 100.0))
+                self.assertFalse(relay.idle)
+                disk.refuses = False
+                await until(lambda: relay.idle)
+                self.assertEqual([told["outcome"] for told in world.notices], ["handed_back"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/faults/test_time.py
@@ -0,0 +1,59 @@
+"""The wall clock is set while relays live, and between their lives; what was promised is counted in real time."""
+
+from __future__ import annotations
+
+import tempfile
+import time
+import unittest
+from pathlib import Path
+from unittest import mock
+
+from calicohitch.clock import Clock
+from calicohitch.journal import Entry, Journal
+
+STEPS_S = (-3_600.0, -5.0, -0.4, 0.4, 5.0, 3_600.0)
+
+
+class BetweenLives(unittest.TestCase):
+    def test_a_message_has_the_time_left_that_it_had(self) -> None:
+        """The first life is killed before it kept what it knows: the journal alone tells from when times are counted."""
+        for step in STEPS_S:
+            with self.subTest(step=step), tempfile.TemporaryDirectory() as folder:
+                clock = Clock()
+                first = Journal(Path(folder), 3e6)
+                first.taken(Entry(1, "m1", "orders", 7, clock.now() + 30_000.0, "k", b"body"))
+                first.attempt(1, 0, clock.now(), 0)
+                first.until(1, 0, clock.now() + 500.0)
+                first.close()
+                real = time.time
+                with mock.patch.object(time, "time", lambda step=step, real=real: real() + step):
+                    later = Journal(Path(folder), 3e6)
+                    now = Clock().now()
+                (entry,) = later.entries.values()
+                later.close()
+                self.assertAlmostEqual((entry.deadline - now) / 1e3, 30.0, delta=0.1)
+                self.assertAlmostEqual((entry.attempts[0].sent_at - now) / 1e3, 0.0, delta=0.1)
+                self.assertAlmostEqual((entry.attempts[0].until - now) / 1e3, 0.5, delta=0.1)
+
+    def test_so_after_several_lives_each_with_a_clock_of_its_own(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            real, started = time.time, Clock().now()
+            first = Journal(Path(folder), 3e6)
+            first.taken(Entry(1, "m1", "orders", 7, started + 30_000.0, "k", b"body"))
+            first.close()
+            for n, step in enumerate((-60.0, 500.0)):
+                with mock.patch.object(time, "time", lambda step=step: real() + step):
+                    life = Journal(Path(folder), 3e6)
+                    now = Clock().now()
+                    self.assertAlmostEqual((life.entries[1].deadline - now) / 1e3, 30.0, delta=0.2)
+                    life.attempt(1, n, now, 0)
+                    life.close()
+            last = Journal(Path(folder), 3e6)
+            self.addCleanup(last.close)
+            sent = [was.sent_at - started for was in last.entries[1].attempts]
+            for at in sent:
+                self.assertAlmostEqual(at / 1e3, 0.0, delta=0.3)
+
+
+if __name__ == "__main__":
+    unittest.main()
