One place says whose trouble a failed system call is, and every socket asks it

Cause: each caller had its own reading of an errno. Link.connect threw the code of connect_ex away and took an unconnected socket for a connection (SO_ERROR is 0 there); ENOBUFS, ENOMEM and EADDRNOTAVAIL were laid to the endpoint; one ENOBUFS from send or recv closed a client's connection unanswered; any error of accept put an idle client out; ENFILE at the spare descriptor, ENOMEM or ENOSPC at epoll_ctl, and a refused TCP_NODELAY in a task ended the relay.

Change: core/system_errors.py names the party, the retry and whether bytes may have left, by errno and step. Calls, clients, discovery, gRPC and the connections under them ask it. What this machine lacks for a moment is tried again within the connect's time, and costs neither a try nor health. The tasks of the intake are restarted as the relay's are.

--- a/calicohitch/grpc/delivery.py
+++ b/calicohitch/grpc/delivery.py
@@ -12,6 +12,7 @@
 
 from ..clock import Clock
 from ..config import Address
+from ..core.system_errors import RETRY_PAUSE_S, MachineError, Step, of_this_machine
 from ..core.seam import Call, Result
 from ..interface import Outcome
 from ..net.endpoints import read_report
@@ -88,12 +89,23 @@
         await self._started.wait()
         assert self._tasks
         with anyio.fail_after(self._connect_s):
-            connection = Http2Connection(await Link.connect(pool[1]), self._clock, self._limits, client=True)
+            connection = Http2Connection(await self._link(pool[1]), self._clock, self._limits, client=True)
             await connection.start()
         self._pools.setdefault(pool, []).append(connection)
         self._tasks.start_soon(connection.run)
         return connection
 
+    async def _link(self, address: Address) -> Link:
+        """Tried again while this machine cannot open one, which is not to be laid to the endpoint."""
+        until = anyio.current_time() + self._connect_s / 2
+        while True:
+            try:
+                return await Link.connect(address)
+            except MachineError:
+                if anyio.current_time() >= until:
+                    raise
+                await anyio.sleep(RETRY_PAUSE_S)
+
     async def call(
         self, endpoint: int, address: Address, call: Call, scope: anyio.CancelScope, wanted: Callable[[], bool]
     ) -> Result:
@@ -115,7 +127,9 @@
                 return await attempt.run(connection, address, timer)
         except _NoRoom:
             return Result(Outcome.MOOT)
-        except OSError:
+        except OSError as err:
+            if of_this_machine(err, Step.CONNECTED):
+                return Result(Outcome.MOOT)
             return attempt.ended(Result(Outcome.CONNECT_FAILED), Status.UNAVAILABLE, "no connection")
         finally:
             pipe.let_go()
--- a/calicohitch/grpc/intake.py
+++ b/calicohitch/grpc/intake.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from ..clock import Clock
+from ..core.system_errors import Retry, Step, trouble
 from ..core.seam import Ended, How, Refusal, Submission
 from ..interface import MessageClass
 from ..net.http import Link
@@ -79,8 +80,9 @@
                     await anyio.wait_readable(self._listener)
                     continue
                 except OSError as err:
-                    logger.warning("gRPC accept: {}", err)
-                    await anyio.sleep(_ROOM_S)
+                    if trouble(err, Step.ACCEPT).retry is not Retry.AT_ONCE:
+                        logger.warning("gRPC accept: {}", err)
+                        await anyio.sleep(_ROOM_S)
                     continue
                 tasks.start_soon(self._serve, sock)
 
--- a/calicohitch/intake/clients.py
+++ b/calicohitch/intake/clients.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import errno
+import math
 import os
 import random
 import socket
@@ -20,7 +21,20 @@
 
 from ..core.seam import Refusal, Submission
 from ..net.head import Look
-from ..net.http import Ambiguous, BodyTooLarge, Link, Request, ServerConnection, hang_up, has_ended
+from ..core.system_errors import OUT_OF_DESCRIPTORS, RETRY_PAUSE_S, Retry, Step, trouble
+from ..core.tasks import restarted
+from ..net.http import (
+    Ambiguous,
+    BodyTooLarge,
+    Link,
+    Request,
+    ServerConnection,
+    close_quietly,
+    hang_up,
+    has_ended,
+    receive_at_once,
+    send_at_once,
+)
 from ..net.relay import Relay
 from ..core.leases import Holder
 from ..core.news import News
@@ -38,12 +52,12 @@
 _IDLE_S = 5.0  # a connection between requests
 _REQUEST_S = 2.0  # from the connect, or a later request's first byte, to the request's last
 _ROOM_S = 0.01
+_STARVED_S = 0.1  # after so long a system without descriptors is not one that lacks them for a moment
 _REPLY_S = 5.0
 _LINGER_S = 0.5
 _LOOK_S = 0.2  # between two looks for those whose time is up
 _LAST_S = 0.2  # whoever connected before the end has so long to send a request
 _LAST_ACCEPTS = 64  # turns of them that are let in at the end
-_READ = 64 << 10
 _ACCEPTS_A_TURN = 16  # new connections, and
 _READS_A_TURN = 16  # connections that are read, before calls and timers have their turn
 _EVENTS_A_TURN = 64  # that are taken into the fair queue
@@ -74,7 +88,8 @@
         self._spare = -1  # a descriptor that is kept for a word to those for whom there is none
         self._by_fd: dict[int, Seat] = {}
         self._waited_for: Readiness | None = None
-        self._listening = self._starved = self._ending = False
+        self._listening = self._ending = False
+        self._starved_since = math.inf  # when accept began to fail for want of something here
         self._tasks: TaskGroup | None = None
         self._waiting = News()  # that a seat waits with a time of its own
         self._answering = 0
@@ -87,38 +102,47 @@
                                      if seat.data or seat.scope)
 
     async def run(self) -> None:
-        waited_for = self._waited_for = Readiness()
-        self._spare = os.open(os.devnull, os.O_RDONLY | os.O_CLOEXEC)
+        self._waited_for = Readiness()
+        self._take_spare()
         try:
             async with anyio.create_task_group() as tasks:
                 self._tasks = tasks
-                tasks.start_soon(self._end_overdue)
-                tasks.start_soon(self._measure)
-                tasks.start_soon(self._tell)
+                tasks.start_soon(restarted, self._end_overdue)
+                tasks.start_soon(restarted, self._measure)
+                tasks.start_soon(restarted, self._tell)
                 self._listen(True)
-                while True:
-                    if len(self._ready):
-                        await anyio.sleep(0)  # calls and timers have their turn
-                    else:
-                        await waited_for.wait()
-                    self._turn(waited_for.take(_EVENTS_A_TURN) if len(self._ready) < _EVENTS_A_TURN else [])
+                await restarted(self._take_turns)
         finally:
             self._listen(False)
             for seat in list(self._by_fd.values()):
                 self._leave(seat)
-                seat.sock.close()
-            if self._spare >= 0:
-                os.close(self._spare)
+                close_quietly(seat.sock)
+            self._give_up_spare()
+
+    async def _take_turns(self) -> None:
+        assert self._waited_for
+        while True:
+            if len(self._ready):
+                await anyio.sleep(0)  # calls and timers have their turn
+            else:
+                await self._waited_for.wait()
+            self._turn(self._waited_for.take(_EVENTS_A_TURN) if len(self._ready) < _EVENTS_A_TURN else [])
 
     def _listen(self, on: bool) -> None:
         """Whether new connections are looked for; they wait in the backlog while they are not."""
         assert self._waited_for
-        if on != self._listening and not (on and self._ending):
-            self._listening = on
-            if on:
-                self._waited_for.register(self._listener)
-            else:
-                self._waited_for.unregister(self._listener)
+        if on == self._listening or on and self._ending:
+            return
+        if not on:
+            self._listening = False
+            self._waited_for.unregister(self._listener)
+            return
+        try:
+            self._waited_for.register(self._listener)
+            self._listening = True
+        except OSError as err:  # the poll takes no more sockets for a moment
+            logger.warning("new connections are not waited for: {}", err)
+            self._pause()
 
     def _turn(self, readable: list[int]) -> None:
         """What came: requests first, one of each source after the other, then new connections."""
@@ -176,34 +200,50 @@
                 sock, address = self._listener.accept()
             except BlockingIOError:
                 return False
-            except OSError as err:  # no descriptor is free, or the client left while it waited
-                if not self._starved:
-                    logger.warning("accept: {}", err)
-                self._starved = True
-                if err.errno in (errno.EMFILE, errno.ENFILE):
-                    self._refuse_by_spare()
-                self._make_room()
-                self._pause()
+            except OSError as err:
+                if trouble(err, Step.ACCEPT).retry is Retry.AT_ONCE:
+                    continue  # that client left while it waited, and others may wait behind it
+                self._cannot_accept(err)
                 return False
-            self._starved = False
+            self._starved_since = math.inf
             self._enter(sock, address[0] if isinstance(address, tuple) else "")
         return True
 
+    def _cannot_accept(self, err: OSError) -> None:
+        """Nobody can be let in for a moment. Room is made where it helps: where this process has no descriptor left."""
+        now = anyio.current_time()
+        if self._starved_since == math.inf:
+            self._starved_since = now
+            logger.warning("accept: {}", err)
+        lasting = now - self._starved_since >= _STARVED_S
+        if err.errno == errno.EMFILE or err.errno in OUT_OF_DESCRIPTORS and lasting:
+            self._refuse_by_spare()
+            self._make_room()
+        self._pause()
+
     def _refuse_by_spare(self) -> None:
         """No descriptor is left: the spare one serves to tell whoever waits to come again, and is taken back."""
         if self._spare >= 0:
-            os.close(self._spare)
-            self._spare = -1
+            self._give_up_spare()
             try:
                 sock, address = self._listener.accept()
                 sock.setblocking(False)
                 self._turn_off(sock, address[0] if isinstance(address, tuple) else "", "no descriptor was left")
             except OSError:
                 pass  # another took it, or the client left
+        self._take_spare()
+
+    def _take_spare(self) -> None:
         try:
             self._spare = os.open(os.devnull, os.O_RDONLY | os.O_CLOEXEC)
-        except OSError:
-            pass  # tried again the next time
+        except OSError as err:  # tried again when it is wanted
+            logger.debug("no descriptor to spare: {}", err)
+
+    def _give_up_spare(self) -> None:
+        spare, self._spare = self._spare, -1
+        if spare >= 0:
+            with suppress(OSError):
+                os.close(spare)
 
     def _turn_off(self, sock: socket.socket, source: str, cause: str) -> None:
         """A connection that is not let in hears so, and when to come again."""
@@ -244,10 +284,20 @@
             self._wait(seat)
 
     def _wait(self, seat: Seat) -> None:
-        assert self._waited_for
-        self._by_fd[seat.sock.fileno()] = seat
-        self._waited_for.register(seat.sock)
+        assert self._waited_for and self._tasks
         self._waiting.tell()
+        try:
+            self._waited_for.register(seat.sock)
+        except OSError as err:  # the poll takes no more sockets for a moment
+            logger.debug("a client's connection is not waited for yet: {}", err)
+            self._tasks.start_soon(self._wait_later, seat)
+            return
+        self._by_fd[seat.sock.fileno()] = seat
+
+    async def _wait_later(self, seat: Seat) -> None:
+        await anyio.sleep(RETRY_PAUSE_S)
+        if not seat.gone and not seat.scope and seat.sock.fileno() not in self._by_fd:
+            self._wait(seat)
 
     def _leave(self, seat: Seat) -> None:
         """Its socket is no longer waited for here, and stays open."""
@@ -271,7 +321,7 @@
                 if answered:
                     hang_up(seat.sock)
                 else:
-                    seat.sock.close()
+                    close_quietly(seat.sock)
 
     def _make_room(self) -> bool:
         """Close one connection that is owed no answer."""
@@ -300,7 +350,7 @@
                 break
         self._ending = True
         self._listen(False)
-        self._listener.close()
+        close_quietly(self._listener)
         until = anyio.current_time() + _LAST_S
         while (self.seats.count or self._answering) and anyio.current_time() < until:
             await anyio.sleep(0.01)
@@ -335,11 +385,11 @@
 
     def _read(self, seat: Seat, waited_ms: float) -> None:
         try:
-            data = seat.sock.recv(_READ)
-        except BlockingIOError:
-            return
+            data = receive_at_once(seat.sock)
         except OSError:
             data = b""
+        if data is None:
+            return
         if not data:
             if seat.data:
                 self._hand_over(seat, ended=True)
@@ -375,9 +425,7 @@
         close = told.close or found.close or not self._keep_alive(number)
         data = answer(told.status, told.headers, told.body, close)
         try:
-            sent = seat.sock.send(data)
-        except BlockingIOError:
-            sent = 0
+            sent = send_at_once(seat.sock, data)
         except OSError:
             sent = -1
         if sent < 0:
--- a/calicohitch/net/discovery.py
+++ b/calicohitch/net/discovery.py
@@ -17,6 +17,7 @@
 from ..config.settings import Names
 from ..core.leases import Holder, Leases
 from ..core.patience import Patience
+from ..core.system_errors import RETRY_PAUSE_S, Step, of_this_machine
 from .http import KeptConnection, Moved
 
 _MAX_LIST = 16 << 20
@@ -225,10 +226,16 @@
                 if not self._failures:
                     logger.warning("discovery: {}: {}; the list stays as it is", type(err).__name__, err)
                 self._failures += 1
-                with anyio.move_on_after(self._patience.pause_s(silent=isinstance(err, OSError))):
+                with anyio.move_on_after(self._pause_s(err)):
                     await self._moved.wait()
                     self._patience.answered()
 
+    def _pause_s(self, err: Exception) -> float:
+        """Until the next question. Where this machine could not even ask, discovery has nothing to be spared from."""
+        if of_this_machine(err, Step.CONNECTED):
+            return RETRY_PAUSE_S
+        return self._patience.pause_s(silent=isinstance(err, OSError))
+
     async def _ask(self) -> None:
         target, wait = "/registry/instances", 0
         if anew := self._believed_at is not None and anyio.current_time() >= self._believed_at:
--- a/calicohitch/net/endpoints.py
+++ b/calicohitch/net/endpoints.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import errno
 import math
 from collections import deque
 from collections.abc import Callable
@@ -14,6 +13,7 @@
 from ..config import Address
 from ..core.leases import Holder, Leases
 from ..core.seam import Call, Result
+from ..core.system_errors import OUT_OF_DESCRIPTORS, RETRY_PAUSE_S, Step, of_this_machine
 from ..interface import Outcome
 from .http import ClientConnection, Headers, Response
 
@@ -81,8 +81,14 @@
     return value if math.isfinite(value) else None
 
 
-class NoDescriptor(Exception):
-    """There is no room for one more connection; no endpoint is to blame."""
+class NoConnection(Exception):
+    """This machine has no room or no way for one more connection; no endpoint is to blame."""
+
+
+class _Opening:
+    """One attempt to have a new connection. `failed_here`: the last try ended by trouble of this machine."""
+
+    failed_here = False
 
 
 class Endpoints:
@@ -111,6 +117,7 @@
         pool = (endpoint, address)
         connection: ClientConnection | None = None
         response: Response | None = None
+        opening = _Opening()
         unsent = made = stale = late = False
         self._out[endpoint] = self._out.get(endpoint, 0) + 1
         closed_before = self._closed.get(endpoint, 0)
@@ -121,7 +128,7 @@
                 connection = self._warm(pool)
                 stale = connection is not None
                 if connection is None:
-                    connection = await self._connect(address)
+                    connection = await self._connect(address, opening)
                 if not wanted():
                     unsent, stale = True, False
                     return Result(Outcome.MOOT)
@@ -138,7 +145,7 @@
             if stale and connection is not None:
                 self._close_idle_since(pool, connection.idle_since)
             return Result(Outcome.CONNECT_FAILED if never else Outcome.RESET, stale=stale)
-        except NoDescriptor:
+        except NoConnection:
             return Result(Outcome.MOOT)
         finally:
             if connection is not None:
@@ -163,7 +170,7 @@
             return Result(Outcome.TIMEOUT, report=result.report) if late and result.ended else result
         if scope.cancelled_caught:
             return Result(Outcome.CANCELLED)
-        if connection is None and self._is_full():
+        if connection is None and (opening.failed_here or self._is_full()):
             return Result(Outcome.MOOT)
         # Guards against a machine cut off: its connections stay open and silent, and calls on them end
         # as resets, which may have run, once it is back. Where it was merely slow this costs handshakes.
@@ -171,25 +178,38 @@
         sent = connection is not None and connection.sent
         return Result(Outcome.TIMEOUT if sent else Outcome.CONNECT_FAILED)
 
-    async def _connect(self, address: Address) -> ClientConnection:
-        """A new connection, once there is a descriptor for it."""
+    async def _connect(self, address: Address, opening: _Opening) -> ClientConnection:
+        """A new connection, once there is a descriptor for it and this machine can open one."""
         until = anyio.current_time() + self._connect_s
         while self._is_full() and not self._close_longest_idle():
             if anyio.current_time() > until:
-                raise NoDescriptor
+                raise NoConnection
             await anyio.sleep(_ROOM_S)
         self._leases.take(Holder.CALLS)
         try:
-            with anyio.fail_after(self._connect_s):
-                return await ClientConnection.open(address)
-        except BaseException as err:
+            return await self._open(address, opening)
+        except BaseException:
             self._leases.give_back(Holder.CALLS)
-            if isinstance(err, OSError) and err.errno in (errno.EMFILE, errno.ENFILE):
-                self._close_longest_idle()
-                await anyio.sleep(_ROOM_S)
-                raise NoDescriptor from err
             raise
 
+    async def _open(self, address: Address, opening: _Opening) -> ClientConnection:
+        """Guards endpoints, and the tries of messages, against trouble of this machine: it is tried again meanwhile."""
+        until = anyio.current_time() + self._connect_s
+        while True:
+            try:
+                opening.failed_here = False
+                with anyio.fail_after(until - anyio.current_time()):
+                    return await ClientConnection.open(address)
+            except OSError as err:
+                if not of_this_machine(err, Step.CONNECTED):
+                    raise
+                opening.failed_here = True
+                if anyio.current_time() >= until:
+                    raise NoConnection from err
+                if err.errno in OUT_OF_DESCRIPTORS:
+                    self._close_longest_idle()
+                await anyio.sleep(RETRY_PAUSE_S)
+
     def _is_full(self) -> bool:
         return not self._leases.free_for(Holder.CALLS)
 
--- a/calicohitch/net/http.py
+++ b/calicohitch/net/http.py
@@ -5,12 +5,13 @@
 
 from __future__ import annotations
 
+import errno
 import math
 import os
 import re
 import socket
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from contextlib import suppress
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -20,6 +21,7 @@
 
 from ..config import Address
 from ..core.leases import Holder, Leases
+from ..core.system_errors import RETRY_PAUSE_S, MachineError, Step, of_this_machine
 from . import answer
 from .head import Look
 
@@ -33,6 +35,7 @@
 # Half a line delivers nothing: the rest of it may never be written.
 _SAYS_200 = re.compile(rb"HTTP/1\.\d 200(?: [^\r\n]*)?\r?\n")
 _LINGER_BYTES = 1 << 20
+_UNDER_WAY = (errno.EINPROGRESS, errno.EINTR, errno.EALREADY)  # connect(2): its end is told when it can be written to
 _MOST_UNREAD = 16  # reads of what nobody waits for any more, before a close
 
 Headers = list[tuple[bytes, bytes]]
@@ -67,6 +70,38 @@
     return sock
 
 
+def close_quietly(sock: socket.socket) -> None:
+    """Close a socket whose last error interests nobody: Linux takes the descriptor back whatever close(2) says."""
+    with suppress(OSError):
+        sock.close()
+
+
+def send_at_once(sock: socket.socket, data: bytes | bytearray | memoryview) -> int:
+    """So many bytes the kernel takes now; 0 where it takes none, be it for want of room or of memory. OSError where
+    the connection is of no more use."""
+    try:
+        return sock.send(data)
+    except BlockingIOError:
+        return 0
+    except OSError as err:
+        if of_this_machine(err, Step.TRANSFER):
+            return 0
+        raise
+
+
+def receive_at_once(sock: socket.socket) -> bytes | None:
+    """What is there; nothing where the other side has ended its sending, None where nothing can be read now. OSError
+    where the connection is of no more use."""
+    try:
+        return sock.recv(_READ)
+    except BlockingIOError:
+        return None
+    except OSError as err:
+        if of_this_machine(err, Step.TRANSFER):
+            return None
+        raise
+
+
 def is_quiet(sock: socket.socket) -> bool:
     """Open, as far as this side has been told, with nothing unread."""
     try:
@@ -84,8 +119,8 @@
         return not sock.recv(1, socket.MSG_PEEK)
     except BlockingIOError:
         return False
-    except OSError:
-        return True
+    except OSError as err:
+        return not of_this_machine(err, Step.TRANSFER)
 
 
 def hang_up(sock: socket.socket) -> None:
@@ -95,7 +130,7 @@
         for _ in range(_MOST_UNREAD):
             if not sock.recv(_READ):
                 break
-    sock.close()
+    close_quietly(sock)
 
 
 class Link:
@@ -104,34 +139,46 @@
     handed = 0
 
     def __init__(self, sock: socket.socket) -> None:
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._sock = sock
+        self._starved = False  # the last send failed for want of memory: a poll would call the socket writable
+        sock.setblocking(False)
+        with suppress(OSError):  # it works without
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     @classmethod
     async def connect(cls, address: Address) -> Link:
-        link = cls(socket.socket(_family(address), socket.SOCK_STREAM))
+        """MachineError where this machine could not even try; another OSError where the connect failed."""
         try:
-            if link._sock.connect_ex((address.host, address.port)):
-                await anyio.wait_writable(link._sock)
-                if code := link._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
-                    raise OSError(code, os.strerror(code))
+            sock = socket.socket(_family(address), socket.SOCK_STREAM)
+        except OSError as err:
+            raise MachineError(err.errno, err.strerror) from err
+        link = cls(sock)
+        try:
+            await link._connected(address)
         except BaseException:
             link.close()
             raise
         return link
 
+    async def _connected(self, address: Address) -> None:
+        code = self._sock.connect_ex((address.host, address.port))
+        if code in _UNDER_WAY:
+            await self.wait_writable()
+            if code := self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                raise OSError(code, os.strerror(code))
+        elif code:
+            failed = OSError(code, os.strerror(code))
+            raise MachineError(code, os.strerror(code)) if of_this_machine(failed, Step.CONNECT) else failed
+
     async def receive(self) -> bytes:
-        while True:
-            try:
-                return self._sock.recv(_READ)
-            except BlockingIOError:
-                await anyio.wait_readable(self._sock)
+        while (data := receive_at_once(self._sock)) is None:
+            await self._wait_readable()
+        return data
 
     def receive_some(self) -> bytes:
         """What is there, nothing where that is nothing."""
         try:
-            return self._sock.recv(_READ)
+            return receive_at_once(self._sock) or b""
         except OSError:
             return b""
 
@@ -150,11 +197,33 @@
             sent = self._sock.send(data)
         except BlockingIOError:
             return 0
+        except OSError as err:
+            if not of_this_machine(err, Step.TRANSFER):
+                raise
+            self._starved = True
+            return 0
         self.handed += sent
         return sent
 
     async def wait_writable(self) -> None:
-        await anyio.wait_writable(self._sock)
+        if self._starved:
+            self._starved = False
+            await anyio.sleep(RETRY_PAUSE_S)
+        else:
+            await self._ready(anyio.wait_writable)
+
+    async def _wait_readable(self) -> None:
+        await self._ready(anyio.wait_readable)
+
+    async def _ready(self, wait: Callable[[socket.socket], Awaitable[None]]) -> None:
+        """Until the poll says so, also where it takes no more sockets for a moment."""
+        while True:
+            try:
+                return await wait(self._sock)
+            except OSError as err:
+                if not of_this_machine(err, Step.POLL):
+                    raise
+                await anyio.sleep(RETRY_PAUSE_S)
 
     def is_quiet(self) -> bool:
         return is_quiet(self._sock)
@@ -171,7 +240,7 @@
         self._sock.shutdown(socket.SHUT_WR)
 
     def close(self) -> None:
-        self._sock.close()
+        close_quietly(self._sock)
 
 
 @dataclass(frozen=True, slots=True)
--- a/calicohitch/net/relay.py
+++ b/calicohitch/net/relay.py
@@ -8,7 +8,7 @@
 import heapq
 import math
 from collections import deque
-from collections.abc import Awaitable, Callable, Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
@@ -24,6 +24,7 @@
 from ..core.memory import CallMemory
 from ..core.patience import Patience
 from ..core.seam import Call, Copies, Delivery, Ended, How, Refusal, Reply, Result, Submission
+from ..core.tasks import restarted
 from ..journal import Attempt, End, Entry, Journal, JournalFull
 from ..recovery import doubts
 from ..recovery.memory import Memory
@@ -68,16 +69,6 @@
         i.EarlierAttempt(to_micros(was.sent_at), was.zone, was.may_have_run) for was in entry.attempts)
 
 
-async def _kept_up(run: Callable[[], Awaitable[None]]) -> None:
-    """Guards the relay against a fault in one of the tasks that last as long as it does."""
-    while True:
-        try:
-            await run()
-        except Exception:
-            logger.exception("a task broke off and is started again")
-        await anyio.sleep(0.1)
-
-
 class Relay:
     """Decisions on sockets. `run` serves until it is cancelled; `take` hands a message in. `tracer`, if there
     is one, is told what happens and changes nothing."""
@@ -146,18 +137,18 @@
         """Take up what an earlier life left open, then serve."""
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
-            tasks.start_soon(_kept_up, self._ring)
-            tasks.start_soon(_kept_up, self._keep)
-            tasks.start_soon(_kept_up, self._end_overdue)
-            tasks.start_soon(_kept_up, self._notices.run)
+            tasks.start_soon(restarted, self._ring)
+            tasks.start_soon(restarted, self._keep)
+            tasks.start_soon(restarted, self._end_overdue)
+            tasks.start_soon(restarted, self._notices.run)
             for delivery in self._deliveries.values():
-                tasks.start_soon(_kept_up, delivery.run)
+                tasks.start_soon(restarted, delivery.run)
             if self._peers:
-                tasks.start_soon(_kept_up, self._peers.run)
+                tasks.start_soon(restarted, self._peers.run)
             if self._tracer:
-                tasks.start_soon(_kept_up, self._tracer.run)
+                tasks.start_soon(restarted, self._tracer.run)
             self._read_known()
-            tasks.start_soon(_kept_up, self._discovery.run)
+            tasks.start_soon(restarted, self._discovery.run)
             if self._copies:
                 tasks.start_soon(self._copies.run)
             # The list in the configuration may be old, and an endpoint on it drain by now: nothing is sent
--- a/tests/faults/test_time.py
+++ b/tests/faults/test_time.py
@@ -16,7 +16,7 @@
 
 class BetweenLives(unittest.TestCase):
     def test_a_message_has_the_time_left_that_it_had(self) -> None:
-        """The first life is killed before it kept what it knows: the journal alone tells from when times are counted."""
+        """The first life is killed before it stored what it knew: only the journal tells from when times count."""
         for step in STEPS_S:
             with self.subTest(step=step), tempfile.TemporaryDirectory() as folder:
                 clock = Clock()
