--- a/calicohitch/clock.py
+++ b/calicohitch/clock.py
@@ -4,17 +4,31 @@
 
 import time
 
+_READINGS = 5
+
 
 class Clock:
     """Unix time at the start plus monotonic time since, so that deadlines outlast a restart."""
 
     def __init__(self) -> None:
-        self._offset = time.time() * 1e3 - time.monotonic() * 1e3
+        self._offset = _offset_ms()
 
     def now(self) -> float:
         return self._offset + time.monotonic() * 1e3
 
 
+def _offset_ms() -> float:
+    """Unix time less monotonic time. Of several pairs of readings the one that lay closest together counts, since a
+    process may be held up between two of them."""
+    pairs = []
+    for _ in range(_READINGS):
+        before = time.monotonic()
+        wall = time.time()
+        after = time.monotonic()
+        pairs.append((after - before, wall - (before + after) / 2))
+    return min(pairs)[1] * 1e3
+
+
 class ManualClock(Clock):
     """A clock that stands still until it is told to move."""
 
--- a/calicohitch/commands/serve.py
+++ b/calicohitch/commands/serve.py
@@ -11,7 +11,7 @@
 
 from .. import logs
 from ..config import reload
-from ..recovery.problems import FolderInUse, FolderLost, FolderNewer, FolderProblem, NameTaken, WorkTaken
+from ..recovery.problems import FolderFailing, FolderInUse, FolderLost, FolderNewer, FolderProblem, NameTaken, WorkTaken
 from ..service import serve
 from .options import loaded, operator_option
 
@@ -21,7 +21,7 @@
 # click reads an exit code off the class of an exception.
 _ENDED: dict[type[FolderProblem], type[click.ClickException]] = {
     kind: type(kind.__name__, (click.ClickException,), {"exit_code": kind.exit_code})
-    for kind in (FolderProblem, FolderInUse, FolderLost, FolderNewer, NameTaken, WorkTaken)}
+    for kind in (FolderProblem, FolderFailing, FolderInUse, FolderLost, FolderNewer, NameTaken, WorkTaken)}
 
 
 @click.command("serve", help="Run the relay that NODE_CONFIG and the other NODE_ variables describe.")
--- a/calicohitch/journal.py
+++ b/calicohitch/journal.py
@@ -4,12 +4,20 @@
 Files are small segments; the oldest goes once none of the messages taken on in it is open, and since messages
 live for seconds, nothing is ever compacted.
 
+A record that the disk refuses is refused or owed. What nothing has come of yet, a message or an attempt, is refused,
+and the act is not made. What has happened already, an outcome, an end or a close, is owed: it is kept in order and
+written before anything else is, as soon as the disk takes it.
+
+Each segment begins with the moment at which it was begun, on the clock that its times are told by and on the machine's
+monotonic clock, so that a later life can have them on its own clock whatever the wall clock was set to meanwhile.
+
 A damaged stretch of a segment costs what stood in it and nothing else (`recovery/salvage.py`). Who was open there is
 `doubtful`: an attempt, or an end, may be missing. A segment with damage is kept aside once it is no longer needed.
 """
 
 from __future__ import annotations
 
+import errno
 import json
 import math
 import os
@@ -18,10 +26,16 @@
 import zlib
 from collections import deque
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 from enum import IntEnum
 from pathlib import Path
+from typing import TypeVar
 
+from .clock import Clock
+from .core.system_errors import Retry, Step, trouble
+from .recovery import clocks
+from .recovery.clocks import Moment, between
 from .recovery.problems import FolderNewer, FolderProblem
 from .recovery.salvage import FRAME, Lost, Record, records
 
@@ -32,8 +46,8 @@
 _UNTIL = struct.Struct(">Hd")  # attempt, until when it may be out
 _OUTCOME = struct.Struct(">HB")  # attempt, whether it may have run
 _END = struct.Struct(">Bd")  # handed back or given up, advice
-_HEADER = struct.Struct(">HQI")  # format, life, number of the segment
-_FIRST = FRAME.size + _HEAD.size + _HEADER.size  # bytes of a segment that holds nothing else yet
+_HEADER = struct.Struct(">HQI")  # format, life, number of the segment; then a moment, and the name of its boot
+_MOMENT = struct.Struct(">dd")  # by the clock that all times of the segment are told by, and by the monotonic one
 _BLOCK = 512  # the platform counts each file in whole blocks of this size
 _AFTERWARDS = 640  # bytes kept free for each open message: eight attempts, their outcomes, its end
 DISK_SHARE = 0.7  # of the disk that the journal uses at most; the rest is a margin
@@ -110,6 +124,7 @@
     whole_until: float = 0.0  # the last time, before the damage, that the journal tells
     bodiless: bool = False  # its body is damaged: it can be ended and no more
     origin: Origin | None = None
+    on_this_clock: bool = field(default=False, compare=False)  # its times were moved from the clock of an earlier life
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,11 +144,22 @@
     size: int = 0
     open: int = 0
     damaged: bool = False
+    empty: int = 0  # its size while it holds nothing but its header
+    set_by: float | None = None  # to be added to its times, to have them on this life's clock; None where unknown
 
     def on_disk(self) -> int:
         return -(-self.size // _BLOCK) * _BLOCK
 
 
+@dataclass(frozen=True, slots=True)
+class _Owed:
+    """A record of what has happened, which the disk has not taken yet."""
+
+    number: int
+    record: bytes
+
+
+_Read = TypeVar("_Read")
 Copier = Callable[[int, bytes, bool], None]  # message, payload of the record, whether it is the last
 
 
@@ -143,24 +169,30 @@
     cannot be used. `check` is called before each write, and raises where this life may not act."""
 
     def __init__(
-        self, folder: Path, disk_bytes: float, life: int = 0, check: Callable[[], None] = lambda: None
+        self, folder: Path, disk_bytes: float, life: int = 0, check: Callable[[], None] = lambda: None,
+        moment: Moment | None = None, complete: bool = False,
     ) -> None:
+        """`moment`: now, by the clock that this life tells times by. `complete`: OSError where a segment cannot be read
+        for a reason that may pass; without it such a segment is left as it is."""
         self._budget = int(disk_bytes * DISK_SHARE)
         self._roll_at = max(4096, min(128 << 10, self._budget // 16))
-        self._folder, self._life, self._check = folder, life, check
+        self._folder, self._life, self._check, self._complete = folder, life, check, complete
+        self._moment = moment or clocks.now(Clock().now())
         self._segments: deque[_Segment] = deque()
         self._home: dict[int, _Segment] = {}  # open message -> the segment that it was taken on in
+        self._owed: deque[_Owed] = deque()
         self._fd = -1
         self._spoilt = False  # a write to the newest segment failed: the next one begins another
         self._last = 0  # number of the newest segment
         self._aside = 0  # bytes on disk of what is kept for inspection
+        self.refusing = False  # the disk did not take the last record that it was given
         self.entries: dict[int, Entry] = {}
         self.damage: list[Damage] = []
         self.orphans = 0
         self.next_number = 1
         self.written_until = 0.0  # the last time that an attempt was written, in milliseconds of Unix time
         self._over: set[int] = set()  # while segments are read: messages that are closed
-        self._early: dict[int, list[tuple[int, bytes]]] = {}  # and records of messages that no segment told yet
+        self._early: dict[int, list[tuple[int, bytes, float]]] = {}  # and records of messages that no segment told yet
         self.copier: Copier | None = None  # told of each record that is written, and whether it is a message's last
         folder.mkdir(parents=True, exist_ok=True)
         self._load_all()
@@ -168,9 +200,14 @@
         self._drop_oldest()
 
     def close(self) -> None:
-        if self._fd >= 0:
-            os.close(self._fd)
-            self._fd = -1
+        self.write_owed()
+        self._close_newest()
+
+    def _close_newest(self) -> None:
+        fd, self._fd = self._fd, -1
+        if fd >= 0:
+            with suppress(OSError):  # Linux gives the descriptor back all the same, and what was written is written
+                os.close(fd)
 
     def may_act(self) -> bool:
         """Whether the folder is still this life's: asked before what goes out without a record of its own."""
@@ -237,19 +274,45 @@
         self._append(_Kind.UNTIL, number, _UNTIL.pack(attempt, until))
 
     def outcome(self, number: int, attempt: int, may_have_run: bool) -> None:
-        """How an attempt ended; one that surely never ran needs no record before this."""
-        self._append(_Kind.OUTCOME, number, _OUTCOME.pack(attempt, may_have_run))
+        """How an attempt ended; one that surely never ran needs no record before this. Owed where it is refused."""
+        self._append_or_owe(_Kind.OUTCOME, number, _OUTCOME.pack(attempt, may_have_run))
 
     def end(self, number: int, end: End) -> None:
-        self._append(_Kind.END, number, _END.pack(end.handed_back, end.retry_in))
+        """Owed where it is refused: until `owes` says no, a later life would not know of it."""
+        self._append_or_owe(_Kind.END, number, _END.pack(end.handed_back, end.retry_in))
 
     def closed(self, number: int) -> None:
-        """Nothing more is owed: it was delivered, is over elsewhere, or its notice was acknowledged."""
+        """Nothing more is owed: it was delivered, is over elsewhere, or its notice was acknowledged. The record of it
+        is owed where it is refused."""
         if number in self._home:
-            self._append(_Kind.CLOSED, number, b"")
+            self._append_or_owe(_Kind.CLOSED, number, b"")
             self._forget(number)
             self._drop_oldest()
 
+    def owes(self, number: int) -> bool:
+        """Whether a record of this message waits for the disk."""
+        return any(owed.number == number for owed in self._owed)
+
+    def write_owed(self) -> bool:
+        """Write what waits for the disk, if it takes it, and see whether it takes records again; whether it does."""
+        if not self.refusing:
+            return True
+        try:
+            self._check()
+            self._write_owed()
+            if self.refusing:
+                self._roll()  # nothing was owed: a segment of its own shows it
+        except (OSError, FolderProblem):
+            return False
+        self.refusing = False
+        return True
+
+    def _write_owed(self) -> None:
+        while self._owed:
+            self._write(self._owed[0].record)
+            self._owed.popleft()
+            self.refusing = False
+
     def _forget(self, number: int) -> None:
         self._home.pop(number).open -= 1
         self.entries.pop(number, None)
@@ -260,70 +323,97 @@
         return FRAME.pack(len(payload), zlib.crc32(payload)) + payload
 
     def _append(self, kind: _Kind, number: int, data: bytes, behind: bytes = b"") -> _Segment:
-        """Write a record, and what goes with it in the same write; all of it or nothing."""
-        record = self._record(kind, number, data) + behind
+        """Write a record, and what goes with it in the same write; all of it or nothing. JournalFull where it is
+        refused, or where what is owed before it is."""
         try:
             self._check()
-            if self._fd < 0 or _FIRST < self._segments[-1].size > self._roll_at - len(record) or self._spoilt:
-                self._roll()
-            segment = self._segments[-1]
-            self._written(segment, record)
-        except (OSError, FolderProblem) as err:
+            self._write_owed()
+            segment = self._write(self._record(kind, number, data) + behind)
+        except OSError as err:
+            self.refusing = True
             raise JournalFull(str(err)) from err
-        segment.size += len(record)
+        except FolderProblem as err:
+            raise JournalFull(str(err)) from err
+        self.refusing = False
+        self._copy(kind, number, data, behind)
+        return segment
+
+    def _append_or_owe(self, kind: _Kind, number: int, data: bytes) -> None:
+        """Write a record of what has happened, now or as soon as the disk takes it. JournalFull where this life may
+        not write any more."""
+        try:
+            self._append(kind, number, data)
+        except JournalFull:
+            if not self.refusing:
+                raise
+            self._owed.append(_Owed(number, self._record(kind, number, data)))
+            self._copy(kind, number, data)
+
+    def _copy(self, kind: _Kind, number: int, data: bytes, behind: bytes = b"") -> None:
         if self.copier:
             self.copier(number, _HEAD.pack(kind, number) + data, kind == _Kind.CLOSED)
             if behind:
                 self.copier(number, behind[FRAME.size :], False)
+
+    def _write(self, record: bytes) -> _Segment:
+        newest = self._segments[-1] if self._fd >= 0 else None
+        full = newest is not None and newest.empty < newest.size > self._roll_at - len(record)
+        if newest is None or full or self._spoilt:
+            self._roll()
+        segment = self._segments[-1]
+        self._written(segment, record)
+        segment.size += len(record)
         return segment
 
     def _written(self, segment: _Segment, record: bytes) -> None:
         """Guards what follows against a disk that fails in the middle: half a record is cut off, and a segment that
         holds something is not written to again, since what failed once may be the file's own trouble."""
-        written = 0
         try:
-            written = os.write(self._fd, record)
-            if written < len(record):
-                raise OSError("the disk is full")
+            _write_all(self._fd, record)
         except OSError:
-            self._spoilt = segment.size > _FIRST
-            if written:
-                try:
-                    os.ftruncate(self._fd, segment.size)
-                except OSError:  # it stays: a reader skips it as damage, and nothing is written behind it
-                    self._spoilt = True
+            self._spoilt = segment.size > segment.empty
+            try:
+                os.ftruncate(self._fd, segment.size)
+            except OSError:  # it stays: a reader skips it as damage, and nothing is written behind it
+                self._spoilt = True
             raise
 
     def _roll(self) -> None:
         path = self._folder / f"journal-{self._last + 1:08d}.log"
-        header = self._record(_Kind.HEADER, 0, _HEADER.pack(FORMAT, self._life, self._last + 1))
+        header = self._record(_Kind.HEADER, 0, _header_data(self._life, self._last + 1, self._moment))
         fd = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_TRUNC | os.O_CLOEXEC, 0o600)
         try:
-            if os.write(fd, header) < len(header):
-                raise OSError("the disk is full")
+            _write_all(fd, header)
         except OSError:
-            os.close(fd)
-            path.unlink(missing_ok=True)
+            with suppress(OSError):
+                os.close(fd)
+            with suppress(OSError):  # the next one under its number cuts it to nothing
+                path.unlink(missing_ok=True)
             raise
-        self.close()
+        self._close_newest()
         self._fd = fd
         self._spoilt = False
         self._last += 1
-        self._segments.append(_Segment(path, len(header)))
+        self._segments.append(_Segment(path, len(header), empty=len(header), set_by=0.0))
 
     def _drop_oldest(self) -> None:
         while self._segments and not self._segments[0].open and (len(self._segments) > 1 or self._fd < 0):
-            segment = self._segments.popleft()
-            if not (segment.damaged and self._keep_aside(segment)):
-                segment.path.unlink(missing_ok=True)
+            segment = self._segments[0]
+            try:
+                if not (segment.damaged and self._keep_aside(segment)):
+                    segment.path.unlink(missing_ok=True)
+            except OSError:
+                return  # tried again with the next message that is closed
+            self._segments.popleft()
 
     def _keep_aside(self, segment: _Segment) -> bool:
         """Keep a damaged segment for inspection; the oldest of those make room for it."""
         kept = sorted(self._folder.glob(f"{_ASIDE}*"))
         room = int(self._budget * _ASIDE_SHARE)
         while kept and (len(kept) >= _MOST_ASIDE or self._aside + segment.on_disk() > room):
-            self._aside -= _Segment(kept[0], kept[0].stat().st_size).on_disk()
+            size = _Segment(kept[0], kept[0].stat().st_size).on_disk()
             kept.pop(0).unlink()
+            self._aside -= size
         if segment.on_disk() > room:
             return False
         segment.path.rename(self._folder / f"{_ASIDE}{segment.path.name}")
@@ -340,27 +430,32 @@
             number = int(name[1])
             if path.name.startswith(_ASIDE):
                 self._aside += _Segment(path, path.stat().st_size).on_disk()
-            else:
-                try:
-                    number = self._number(path) or number
-                except OSError as err:
-                    self.damage.append(
-                        Damage(path.name, 0, 0, f"it cannot be read ({err.strerror}) and is left as it is"))
-                else:
-                    found.append((number, path))
+            elif (told := self._readable(path, self._number)) is not None:
+                number = told or number
+                found.append((number, path))
             self._last = max(self._last, int(name[1]), number)
         for _, path in sorted(found):
-            self._load(path)
-        self.orphans = sum(any(kind != _Kind.TRACE for kind, _ in told) for number, told in self._early.items()
+            if (data := self._readable(path, Path.read_bytes)) is not None:
+                self._load(path, data)
+        self.orphans = sum(any(kind != _Kind.TRACE for kind, _, _ in told) for number, told in self._early.items()
                            if number not in self._over)
         self._early.clear()
         self._over.clear()
 
-    def _load(self, path: Path) -> None:
+    def _readable(self, path: Path, read: Callable[[Path], _Read]) -> _Read | None:
+        """What is read of a segment; None where it cannot be, which is noted."""
+        try:
+            return read(path)
+        except OSError as err:
+            if self._complete and trouble(err, Step.FILE).retry is not Retry.NEVER:
+                raise
+            self.damage.append(Damage(path.name, 0, 0, f"it cannot be read ({err.strerror}) and is left as it is"))
+            return None
+
+    def _load(self, path: Path, data: bytes) -> None:
         """Read a segment to its end; a torn end, of an act that was not made, is left where it is. Guards what the next
         life reads: behind a damaged record the same bytes less their end can be read in another way."""
-        data = path.read_bytes()
-        segment = _Segment(path, len(data))
+        segment = _Segment(path, len(data), set_by=self._segments[-1].set_by if self._segments else None)
         self._segments.append(segment)
         for one in records(data):
             if isinstance(one, Lost):
@@ -406,7 +501,7 @@
         if number in self._home or number in self._over or not number:
             return None
         try:
-            entry = _entry(number, payload[_HEAD.size :], call=False)
+            entry = self._told(number, payload[_HEAD.size :], False, segment)
         except (ValueError, TypeError, struct.error):
             return None
         entry.body, entry.bodiless = b"", True
@@ -417,8 +512,16 @@
         self.entries[entry.number] = entry
         self._home[entry.number] = segment
         segment.open += 1
-        for kind, rest in self._early.pop(entry.number, ()):
-            self._more(kind, entry, rest)
+        for kind, rest, set_by in self._early.pop(entry.number, ()):
+            self._more(kind, entry, rest, set_by)
+
+    def _told(self, number: int, rest: bytes, call: bool, segment: _Segment) -> Entry:
+        """A message as its first record in this segment tells it, its time moved to this life's clock."""
+        entry = _entry(number, rest, call)
+        if segment.set_by is not None:
+            entry.deadline += segment.set_by
+            entry.on_this_clock = True
+        return entry
 
     def _replay(self, record: Record, segment: _Segment) -> None:
         kind, number = _HEAD.unpack_from(record.payload)
@@ -430,23 +533,34 @@
                     segment.damaged = True
                     self._note(segment, record.offset, len(record.payload), "it is there twice; the first counts")
                     return
-                self._open(_entry(number, rest, call=kind == _Kind.CALL), segment)
+                self._open(self._told(number, rest, kind == _Kind.CALL, segment), segment)
+            elif kind == _Kind.HEADER:
+                segment.set_by = self._set_by(rest, segment.set_by)
             elif kind == _Kind.CLOSED:
                 self._over.add(number)
                 if number in self._home:
                     self._forget(number)
             elif (entry := self.entries.get(number)) is not None:
-                self._more(kind, entry, rest)
-            elif number not in self._over and kind != _Kind.HEADER:
-                self._early.setdefault(number, []).append((kind, rest))  # its segment is gone, or comes later
+                self._more(kind, entry, rest, segment.set_by or 0.0)
+            elif number not in self._over:  # the segment of its message is gone, or comes later
+                self._early.setdefault(number, []).append((kind, rest, segment.set_by or 0.0))
         except (ValueError, TypeError, struct.error) as err:  # whole, and yet not what this program writes
             segment.damaged = True
             self._note(segment, record.offset, len(record.payload), f"it cannot be understood: {err}")
 
-    def _more(self, kind: int, entry: Entry, rest: bytes) -> None:
-        """What a later record tells of a message that is open."""
+    def _set_by(self, header: bytes, before: float | None) -> float | None:
+        """What is to be added to the times of a segment; where its header tells no moment, what held `before` it."""
+        if len(header) < _HEADER.size + _MOMENT.size:
+            return None if len(header) == _HEADER.size else before
+        wall, mono = _MOMENT.unpack_from(header, _HEADER.size)
+        boot = header[_HEADER.size + _MOMENT.size :].decode("ascii", "replace")
+        return between(Moment(wall, mono, boot), self._moment).set_by
+
+    def _more(self, kind: int, entry: Entry, rest: bytes, set_by: float) -> None:
+        """What a later record tells of a message that is open; `set_by` moves its times to this life's clock."""
         if kind == _Kind.ATTEMPT:
             attempt, sent_at, zone = _ATTEMPT.unpack(rest)
+            sent_at += set_by
             self.written_until = max(self.written_until, sent_at)
             if attempt < len(entry.attempts):
                 return  # told already
@@ -464,7 +578,7 @@
         elif kind == _Kind.UNTIL:
             attempt, until = _UNTIL.unpack(rest)
             if attempt < len(entry.attempts) and math.isfinite(until):
-                entry.attempts[attempt].until = until
+                entry.attempts[attempt].until = until + set_by if until else until
         elif kind == _Kind.END:
             handed_back, retry_in = _END.unpack(rest)
             entry.end = End(bool(handed_back), retry_in if math.isfinite(retry_in) and retry_in > 0 else 0.0)
@@ -475,6 +589,19 @@
             entry.origin = Origin(str(relay), int(epoch), int(part), bool(confirmed))
 
 
+def _write_all(fd: int, data: bytes) -> None:
+    """All of it, however few bytes each write takes; OSError where one takes none."""
+    left = memoryview(data)
+    while left:
+        if not (written := os.write(fd, left)):
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+        left = left[written:]
+
+
+def _header_data(life: int, number: int, moment: Moment) -> bytes:
+    return _HEADER.pack(FORMAT, life, number) + _MOMENT.pack(moment.wall, moment.mono) + moment.boot.encode()
+
+
 def _taken_data(entry: Entry) -> bytes:
     text = json.dumps([entry.id, entry.class_name, entry.dest, entry.key]).encode()
     return _TAKEN.pack(entry.deadline, len(text)) + text + (b"" if entry.call else entry.body)
--- a/calicohitch/net/relay.py
+++ b/calicohitch/net/relay.py
@@ -41,6 +41,7 @@
 
 _LIST_S = 0.3
 _OVERDUE_MS = 50.0  # after its time a message is ended here, and so long between two looks: see `Notices`
+_DISK_S = 0.02  # between two tries to write what a disk refused
 _KEEP_S = 0.25  # between two looks at what the next life had better know
 _UNREAD_GROWS = 10  # times what was logged, before it is logged again
 _FLEET_S = 5.0  # a start waits so long for the coordination store before it serves what needs none
@@ -64,6 +65,14 @@
         return self.told.reply if self.told and not self.withdrawn else None
 
 
+@dataclass(frozen=True, slots=True)
+class _Unrecorded:
+    """An end whose record is owed. Until it is written, or nobody can send its message any more, it is not told."""
+
+    notice: Notice
+    deadline: float
+
+
 def _earlier(entry: Entry) -> tuple[i.EarlierAttempt, ...]:
     return tuple(
         i.EarlierAttempt(to_micros(was.sent_at), was.zone, was.may_have_run) for was in entry.attempts)
@@ -115,6 +124,7 @@
         patience = Patience(settings.asks_for_list, backoff)
         self._discovery = Discovery(config.discovery, self._directory, self._listed, patience, self.leases)
         self._waits: dict[int, float] = {}  # destination, or endpoint where those are routes apart -> its end
+        self._unrecorded: dict[int, _Unrecorded] = {}  # message -> its end, which waits for the disk
         self._notices = Notices(config.discovery, self._closed, self.leases, self._may_end)
         self._endpoints = Endpoints(
             clock,
@@ -140,6 +150,7 @@
             tasks.start_soon(restarted, self._ring)
             tasks.start_soon(restarted, self._keep)
             tasks.start_soon(restarted, self._end_overdue)
+            tasks.start_soon(restarted, self._write_owed)
             tasks.start_soon(restarted, self._notices.run)
             for delivery in self._deliveries.values():
                 tasks.start_soon(restarted, delivery.run)
@@ -174,7 +185,8 @@
     @property
     def idle(self) -> bool:
         """Nothing is owed to anyone."""
-        return not self._open and not len(self._notices) and not (self._copies and self._copies.ends_waiting)
+        ending = self._unrecorded or len(self._notices) or self._copies and self._copies.ends_waiting
+        return not self._open and not ending
 
     def take(self, told: Submission) -> int | Refusal:
         """Journal a message. `accept` must follow once its client was told, or `withdraw` if it was not."""
@@ -457,6 +469,7 @@
         if self._copies and not await self._copies.until_safe(entry.number, (to_ms(action.timeout) or 1e4) / 1e3):
             self._settled(message, attempt, action.endpoint, result)  # nobody may know of it: it was not made
             return
+        await self._until_disk_takes(message, attempt, action)
         left = max(1.0, entry.deadline - self._clock.now())  # without any, `_wanted` says no
         told = message.told
         call = Call(entry.id, entry.key, entry.body, min(to_ms(action.timeout) or left, left), more, marks,
@@ -478,6 +491,16 @@
                 self._copies.waited(self._route(member.listed), now + result.wait)
         self._settled(message, attempt, action.endpoint, result)
 
+    async def _until_disk_takes(self, message: _Open, attempt: int, action: i.Send) -> None:
+        """Guards the tries of messages against a disk that takes no record for a moment: the call begins once it does,
+        or ends without its record. The endpoint is not to answer for the wait."""
+        if not self._journal.refusing or attempt in message.written:
+            return
+        until = min(self._clock.now() + (to_ms(action.timeout) or math.inf), message.entry.deadline)
+        while self._journal.refusing and self._clock.now() < until and not message.calls[attempt].cancel_called:
+            await anyio.sleep(_DISK_S)
+        message.entry.attempts[attempt].sent_at = self._clock.now()
+
     def _route(self, entry: i.Listed) -> int:
         """What shares a told wait with this endpoint; endpoints that are routes apart are below zero."""
         return ~entry.endpoint if self._config.settings.kind(entry).routes_apart else entry.dest
@@ -556,16 +579,42 @@
                 reply.ended(Ended(how, end.retry_in, ran))
             self._remember(message.entry)
             return
+        self._record_end(message.entry, end)
+        self._owe_notice(message.entry, end)
+
+    def _record_end(self, entry: Entry, end: End) -> None:
         try:
-            self._journal.end(number, end)
+            self._journal.end(entry.number, end)
         except Exception as err:  # after a restart the decisions come to an end of their own
             logger.error("journal: {}", err)
-        notice = Notice(number, message.entry.id, end)
+
+    def _owe_notice(self, entry: Entry, end: End) -> None:
+        """Guards a message that was handed back, and may be elsewhere by now, against a later life that does not know
+        of its end and sends it. Past its time none does."""
+        notice = Notice(entry.number, entry.id, end)
+        if self._journal.owes(entry.number) and self._clock.now() < entry.deadline:
+            logger.warning("the end of message {} waits for the disk", entry.id)
+            self._unrecorded[entry.number] = _Unrecorded(notice, entry.deadline)
+        else:
+            self._tell_end(notice)
+
+    def _tell_end(self, notice: Notice) -> None:
         if self._copies:  # a successor that does not know of the end would come to another
-            self._copies.when_safe(number, lambda: self._notices.add(notice))
+            self._copies.when_safe(notice.number, lambda: self._notices.add(notice))
         else:
             self._notices.add(notice)
 
+    async def _write_owed(self) -> None:
+        """Try again what the disk refused, and tell the ends that waited for it."""
+        while True:
+            await anyio.sleep(_DISK_S)
+            self._journal.write_owed()
+            now = self._clock.now()
+            for number, waiting in list(self._unrecorded.items()):
+                if not self._journal.owes(number) or now >= waiting.deadline:
+                    del self._unrecorded[number]
+                    self._tell_end(waiting.notice)
+
     def _closed(self, number: int) -> None:
         try:
             self._journal.closed(number)
@@ -631,7 +680,7 @@
             if self._tracer:
                 self._tracer.recovered(entry)
             if entry.end:
-                self._notices.add(Notice(entry.number, entry.id, entry.end))
+                self._owe_notice(entry, entry.end)
             else:
                 self._open[entry.number] = _Open(entry, accepted=True)
                 self._by_id[entry.id] = entry.number
@@ -778,7 +827,7 @@
         try:
             if (end := doubts.end_of(entry, cls)) is not None:
                 entry.end = end
-                self._journal.end(entry.number, end)
+                self._record_end(entry, end)
             elif (missing := doubts.missing_attempt(entry, cls)) is not None:
                 entry.attempts.append(missing)
                 self._journal.attempt(entry.number, len(entry.attempts) - 1, missing.sent_at, missing.zone)
--- a/calicohitch/recovery/claim.py
+++ b/calicohitch/recovery/claim.py
@@ -9,10 +9,11 @@
 - its lock is held and its count has stood still for `EXPIRED_S`, by the clock of the process that watches: it is
   stalled, and a later life may begin. When it goes on it finds the later life's file before its next act.
 
-A claim is believed by its owner for `TERM_S` after the last count, by its monotonic clock, taken before the write; past
-that it has to count again before it acts. `TERM_S` is less than half of `EXPIRED_S`, so no drift of clocks that runs
-machines makes both believe at once. What is left is a pause between the check and the act; `docs/design/recovery.md`
-says what bounds its harm. Each look and change is made under a second lock, `claim.lock`, held for microseconds.
+The file of a life is also what proves it: whoever begins a later life removes the earlier files before it acts, so an
+owner whose open file has no name left has been replaced. `check` asks the kernel for just that, by fstat(2): it needs
+no descriptor, no write and no reading, so a disk that refuses ends no claim. What is left is a pause between the check
+and the act; `docs/design/recovery.md` says what bounds its harm. Each look of a watcher, and each change, is made under
+a second lock, `claim.lock`, held for microseconds.
 """
 
 from __future__ import annotations
@@ -23,14 +24,14 @@
 import re
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from pathlib import Path
 
 import anyio
 from loguru import logger
 
-from .problems import FolderInUse, FolderLost, unusable
+from .problems import FolderFailing, FolderInUse, FolderLost, FolderProblem, unusable
 
-TERM_S = 2.0
 EXPIRED_S = 5.0
 RENEW_S = 0.5
 WAIT_S = 10.0  # for a process that is still ending: longer than a drain on the platform, 3.7 s, and than EXPIRED_S
@@ -58,48 +59,53 @@
 class Claim:
     """This process's hold on a folder. `take` begins a life; `check` before each act; `renew` twice a second."""
 
-    def __init__(self, folder: Path, life: int, fd: int, monotonic: Callable[[], float] = time.monotonic) -> None:
+    def __init__(self, folder: Path, life: int, fd: int) -> None:
         self.folder, self.life = folder, life
-        self._fd, self._monotonic = fd, monotonic
+        self._fd = fd
         self._count = 0
-        self._valid_until = 0.0
         self.lost: str = ""  # why, once a later life has the folder
         self.on_lost: Callable[[], None] = lambda: None
 
     def close(self) -> None:
         """End the life: its lock is free, and its file stays, so that the next number is higher."""
-        if self._fd >= 0:
-            os.close(self._fd)
-            self._fd = -1
+        fd, self._fd = self._fd, -1
+        if fd >= 0:
+            with suppress(OSError):  # Linux gives the descriptor back all the same
+                os.close(fd)
 
     def check(self) -> None:
-        """FolderLost where this life has ended; FolderInUse where it cannot be proved right now that it has not."""
-        if not self.lost and self._monotonic() < self._valid_until:
-            return
+        """FolderLost where this life has ended; FolderInUse where the kernel does not say that it has not."""
         if not self.lost:
-            self.renew()
+            self._look()
         if self.lost:
             raise FolderLost(self.lost)
-        if self._monotonic() >= self._valid_until:
-            raise FolderInUse(f"the claim on {self.folder} could not be renewed")
+
+    def _look(self) -> None:
+        try:
+            replaced = os.fstat(self._fd).st_nlink == 0
+        except OSError as err:
+            raise FolderInUse(f"the claim on {self.folder} cannot be proved: {err}") from err
+        if replaced:
+            self._lose(self._why())
+
+    def _why(self) -> str:
+        later = [life for life in _lives_or_none(self.folder) if life > self.life]
+        if later:
+            return f"life {later[-1]} has the folder {self.folder} now; life {self.life} ends"
+        return f"the folder {self.folder} was emptied or replaced under life {self.life}; it ends"
 
     def renew(self) -> None:
-        """Count up, if no later life has begun; an error of the disk leaves the claim to run out."""
-        began = self._monotonic()
+        """Count up, so that watchers see this life move. An error of the disk does not end it: it is proved without."""
         if self.lost or self._fd < 0:
             return
         try:
-            with _Short(self.folder):
-                lives = _lives(self.folder)
-                if lives and lives[-1] > self.life:
-                    self._lose(f"life {lives[-1]} has the folder {self.folder} now; life {self.life} ends")
-                elif self.life not in lives:
-                    self._lose(f"the folder {self.folder} was emptied or replaced under life {self.life}; it ends")
-                else:
-                    self._write()
-                    self._valid_until = began + TERM_S
-        except _Busy:
-            pass  # a process looks at the claim; the next renewal comes soon
+            self.check()
+            if self.life not in _lives(self.folder):  # another folder was put in its place
+                self._lose(self._why())
+            else:
+                self._write()
+        except FolderProblem:
+            pass  # `lost` says it
         except OSError as err:
             logger.bind(event="claim.error").warning("the claim on {} was not renewed: {}", self.folder, err)
 
@@ -113,23 +119,24 @@
         os.pwrite(self._fd, line.encode(), 0)
 
     @classmethod
-    def begin(cls, folder: Path, after: int, monotonic: Callable[[], float], wall: Callable[[], float]) -> Claim:
-        """Make the next life's file, lock it, and forget the earlier ones; under `claim.lock`."""
+    def begin(cls, folder: Path, after: int, wall: Callable[[], float]) -> Claim:
+        """Make the next life's file, lock it, and remove the earlier ones; under `claim.lock`. What was begun in vain
+        is taken back: an earlier life whose file is still there goes on."""
         life = max(after + 1, int(wall()))
         path = folder / f"life-{life}"
         fd = os.open(path, os.O_RDWR | os.O_CREAT | os.O_EXCL | os.O_CLOEXEC, 0o600)
-        claim = cls(folder, life, fd, monotonic)
+        claim = cls(folder, life, fd)
         try:
-            began = monotonic()
             if not _flock(fd):
                 raise FolderInUse(f"the folder {folder}: another process locked the file of a life that just began")
             claim._write()
-            claim._valid_until = began + TERM_S
             for earlier in _lives(folder):
                 if earlier < life:
                     (folder / f"life-{earlier}").unlink(missing_ok=True)
         except BaseException:
             claim.close()
+            with suppress(OSError):
+                path.unlink(missing_ok=True)
             raise
         return claim
 
@@ -146,17 +153,26 @@
             if not _flock(self._fd):
                 raise _Busy
         except BaseException:
-            os.close(self._fd)
+            with suppress(OSError):
+                os.close(self._fd)
             raise
 
     def __exit__(self, *_: object) -> None:
-        os.close(self._fd)
+        with suppress(OSError):
+            os.close(self._fd)
 
 
 def _lives(folder: Path) -> list[int]:
     return sorted(int(found[1]) for name in os.listdir(folder) if (found := _LIFE.fullmatch(name)))
 
 
+def _lives_or_none(folder: Path) -> list[int]:
+    """For a message only: none where the folder cannot be listed."""
+    with suppress(OSError):
+        return _lives(folder)
+    return []
+
+
 class Watcher:
     """Looks at a folder until it can be claimed. `look` gives the claim, or None and why not in `why`."""
 
@@ -182,20 +198,33 @@
 
     def _look(self) -> Claim | None:
         lives = _lives(self._folder)
-        if not lives or (line := self._held(lives[-1])) is None:
-            return Claim.begin(self._folder, lives[-1] if lives else 0, self._monotonic, self._wall)
+        owner = self._owner(lives)
+        if owner is None:
+            return self._begin(lives)
+        life, line = owner
         now = self._monotonic()
-        if (lives[-1], line) != self._seen:
-            self._seen, self._since = (lives[-1], line), now
+        if owner != self._seen:
+            self._seen, self._since = owner, now
         still = now - self._since
         if still >= EXPIRED_S:
-            logger.bind(event="claim.expired", life=lives[-1]).warning(
-                "life {} holds the folder {} and has stood still for {:.1f} s: it is replaced", lives[-1],
-                self._folder, still)
-            return Claim.begin(self._folder, lives[-1], self._monotonic, self._wall)
+            logger.bind(event="claim.expired", life=life).warning(
+                "life {} holds the folder {} and has stood still for {:.1f} s: it is replaced", life, self._folder,
+                still)
+            return self._begin(lives)
         parts = line.decode("ascii", "replace").split()
         pid = parts[1] if len(parts) > 1 else "unknown"
-        self.why = f"life {lives[-1]} (process {pid}) has it and is alive"
+        self.why = f"life {life} (process {pid}) has it and is alive"
+        return None
+
+    def _begin(self, lives: list[int]) -> Claim:
+        return Claim.begin(self._folder, lives[-1] if lives else 0, self._wall)
+
+    def _owner(self, lives: list[int]) -> tuple[int, bytes] | None:
+        """The life whose lock is held, and what it wrote last. Not only the last one: a life that could not be begun
+        to its end leaves its file where the disk does not let it go."""
+        for life in reversed(lives):
+            if (line := self._held(life)) is not None:
+                return life, line
         return None
 
     def _held(self, life: int) -> bytes | None:
@@ -207,20 +236,28 @@
         try:
             return None if _flock(fd) else os.pread(fd, _LINE, 0)
         finally:
-            os.close(fd)  # and with it the lock, if this look got it
+            with suppress(OSError):
+                os.close(fd)  # and with it the lock, if this look got it
 
 
 async def claimed(folder: Path, wait_s: float = WAIT_S) -> Claim:
-    """Begin a life on the folder; while its owner is alive wait for it, so long at most. FolderProblem otherwise."""
+    """Begin a life on the folder; while its owner is alive, or its disk refuses, wait for it, so long at most.
+    FolderProblem otherwise."""
     watcher = Watcher(folder)
     until = time.monotonic() + wait_s
-    told = False
-    while (claim := watcher.look()) is None:
+    waiting = False
+    while True:
+        problem: FolderProblem
+        try:
+            if claim := watcher.look():
+                return claim
+            problem = FolderInUse(f"the folder {folder} is in use: {watcher.why}. Stop that process, or give this "
+                                  "relay a folder of its own (NODE_STATE)")
+        except FolderFailing as err:
+            problem = err
         if time.monotonic() >= until:
-            raise FolderInUse(f"the folder {folder} is in use: {watcher.why}. Stop that process, or give this relay a "
-                              "folder of its own (NODE_STATE)")
-        if not told:
-            told = True
-            logger.bind(event="claim.waiting").info("waiting for the folder {}: {}", folder, watcher.why)
+            raise problem
+        if not waiting:
+            waiting = True
+            logger.bind(event="claim.waiting").info("waiting for the folder {}: {}", folder, watcher.why or problem)
         await anyio.sleep(_LOOK_S)
-    return claim
--- a/calicohitch/recovery/clocks.py
+++ b/calicohitch/recovery/clocks.py
@@ -14,11 +14,14 @@
 
 import math
 import time
+from contextlib import suppress
 from dataclasses import dataclass
+from functools import lru_cache
 from pathlib import Path
 
+_BOOT_READS = 5  # a read may fail for a moment, and a boot that is not known counts as another one
 _BOOT = Path("/proc/sys/kernel/random/boot_id")
-_NOISE_MS = 1_000.0  # clocks that are steered differ by less
+_NOISE_MS = 1.0  # two clocks that are read one behind the other differ by less
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,13 +42,18 @@
     set_by: float = 0.0
 
 
+@lru_cache(maxsize=1)
+def _boot() -> str:
+    return _BOOT.read_text(encoding="ascii").strip()
+
+
 def now(wall: float) -> Moment:
     """This moment; `wall` as the relay's clock tells it."""
-    try:
-        boot = _BOOT.read_text(encoding="ascii").strip()
-    except (OSError, ValueError):
-        boot = ""
-    return Moment(wall, time.monotonic() * 1e3, boot)
+    mono = time.monotonic() * 1e3
+    for _ in range(_BOOT_READS):
+        with suppress(OSError, ValueError):
+            return Moment(wall, mono, _boot())
+    return Moment(wall, mono)
 
 
 def between(first: Moment, second: Moment) -> Between:
--- a/calicohitch/recovery/memory.py
+++ b/calicohitch/recovery/memory.py
@@ -18,6 +18,7 @@
 from . import beliefs, clocks
 from .keeper import Keeper
 
+_WORTH_A_LINE_MS = 1_000.0  # clocks that are steered differ by less
 _EVERY_MS = 1_000.0  # between two writes, while something changes or work is open
 
 
@@ -47,7 +48,7 @@
         for part, age, why in told.left_out:
             logger.bind(event="recovery.old", part=part, age_ms=age).info(
                 "stored {} of {:.1f} s ago: not believed, {}", part, age / 1e3, why)
-        if told.set_by:
+        if abs(told.set_by) > _WORTH_A_LINE_MS:
             logger.bind(event="recovery.clock", set_by_ms=told.set_by).warning(
                 "the wall clock was set by {:+.1f} s since an earlier life: its times are moved", told.set_by / 1e3)
 
@@ -59,6 +60,8 @@
             return
         if told.set_by:
             for entry in entries:
+                if entry.on_this_clock:
+                    continue  # the journal knew its moment
                 entry.deadline += told.set_by
                 entry.whole_until += told.set_by
                 for attempt in entry.attempts:
--- a/calicohitch/recovery/problems.py
+++ b/calicohitch/recovery/problems.py
@@ -5,6 +5,8 @@
 import errno
 from pathlib import Path
 
+from ..core.system_errors import Retry, Step, trouble
+
 
 class FolderProblem(Exception):
     """A relay cannot serve from its folder. The text is one line: what is wrong, and what would do."""
@@ -12,6 +14,10 @@
     exit_code = 73
 
 
+class FolderFailing(FolderProblem):
+    """Its disk refuses, or this machine lacks something for a moment: the same may work a little later."""
+
+
 class FolderInUse(FolderProblem):
     """Another process holds the folder, and is alive."""
 
@@ -57,4 +63,5 @@
 def unusable(folder: Path, err: OSError) -> FolderProblem:
     """What an error of the file system means for the folder."""
     hint = _HINTS.get(err.errno or 0, "look at its disk, or name another in NODE_STATE")
-    return FolderProblem(f"the folder {folder} cannot be used ({err.strerror or err}): {hint}")
+    kind = FolderProblem if trouble(err, Step.FILE).retry is Retry.NEVER else FolderFailing
+    return kind(f"the folder {folder} cannot be used ({err.strerror or err}): {hint}")
--- a/calicohitch/service.py
+++ b/calicohitch/service.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import errno
+import socket
 from collections.abc import Callable
 from contextlib import ExitStack
 from dataclasses import replace
@@ -11,17 +13,19 @@
 from loguru import logger
 
 from .clock import Clock, to_ms
-from .config import Config
+from .config import Address, Config
 from .config.operator import Operator
 from .core.signals import Told, heeded
+from .core.system_errors import Step, of_this_machine
 from .journal import DISK_SHARE, Journal
 from .intake.admission.settings import AdmissionSettings
 from .intake.clients import Clients
 from .net.http import listen
 from .net.relay import Relay
 from .recovery.claim import RENEW_S, Claim, claimed
+from .recovery import clocks
 from .recovery.memory import Memory
-from .recovery.problems import FolderLost, FolderProblem, unusable
+from .recovery.problems import FolderFailing, FolderLost, FolderProblem, unusable
 
 if TYPE_CHECKING:
     from .grpc.intake import GrpcIntake
@@ -31,6 +35,7 @@
 
 _MB = 1_000_000  # the platform counts disk in these
 _HAND_OVER_S = 2.0  # for the attempts that are out, and again for what is to be copied
+_AGAIN_S = 0.05  # between two tries of what may work a little later
 _SETTLE_S = 0.5  # clients keep coming for a moment after SIGTERM, and are told to go elsewhere
 
 
@@ -66,10 +71,7 @@
 ) -> None:
     """One life, on the folder that it has claimed."""
     logger.bind(event="claim.taken", life=claim.life).info("life {} has the folder {}", claim.life, config.state)
-    try:
-        journal = Journal(config.state, config.limits.disk_mb * _MB, claim.life, claim.check)
-    except OSError as err:
-        raise unusable(config.state, err) from err
+    journal = await _journal(config, clock, claim, operator.recovery.folder_wait_ms / 1e3)
     tracer = _tracer(config, clock, operator)
     grpc = operator.grpc
     takeover = _takeover(config, clock, operator, claim, journal)
@@ -80,7 +82,8 @@
     else:
         relay = Relay(config, clock, journal, tracer, memory=memory, up_at=up_at, copies=takeover)
     admission = operator.clients or AdmissionSettings()
-    with listen(config.listen, admission.backlog) as listener, ExitStack() as stack:
+    wait_s = operator.recovery.folder_wait_ms / 1e3
+    with await _listening(config.listen, admission.backlog, wait_s) as listener, ExitStack() as stack:
         logger.bind(event="relay.listening").info("{} listens at {}", config.name, config.listen)
         clients = Clients(relay, config.names.classes, listener, admission, config.seed)
         calls = _grpc(relay, grpc, config, clock, stack) if grpc else None
@@ -121,6 +124,37 @@
         raise takeover.ended
 
 
+async def _journal(config: Config, clock: Clock, claim: Claim, wait_s: float) -> Journal:
+    """The journal, read whole. What cannot be read for a moment is tried again, so long at most, and then left out."""
+    until = anyio.current_time() + wait_s
+    while True:
+        last = anyio.current_time() >= until
+        try:
+            return Journal(config.state, config.limits.disk_mb * _MB, claim.life, claim.check, clocks.now(clock.now()),
+                complete=not last)
+        except OSError as err:
+            problem = unusable(config.state, err)
+            if last or not isinstance(problem, FolderFailing):
+                raise problem from err
+            logger.bind(event="journal.waiting").warning("the journal cannot be read yet: {}", err)
+        await anyio.sleep(_AGAIN_S)
+
+
+async def _listening(address: Address, backlog: int, wait_s: float) -> socket.socket:
+    """The listener. Where a process that is ending still has the address, or this machine lacks something for a moment,
+    it is tried again, so long at most."""
+    until = anyio.current_time() + wait_s
+    while True:
+        try:
+            return listen(address, backlog)
+        except OSError as err:
+            passing = err.errno == errno.EADDRINUSE or of_this_machine(err, Step.SOCKET)
+            if not passing or anyio.current_time() >= until:
+                raise
+            logger.bind(event="relay.waiting").warning("cannot listen at {} yet: {}", address, err)
+        await anyio.sleep(_AGAIN_S)
+
+
 async def _handed_over(relay: Relay, takeover: Takeover) -> None:
     """Give copied work to those who hold copies, before the lease goes: what is out ends first, for a while."""
     takeover.stop_taking()
