--- a/calicohitch/net/http.py
+++ b/calicohitch/net/http.py
@@ -137,10 +137,10 @@
     """One TCP connection; only the task that uses it closes it. `handed`: bytes that the kernel has taken so far."""
 
     handed = 0
+    _starved = False  # the last send failed for want of memory: a poll would call the socket writable
 
     def __init__(self, sock: socket.socket) -> None:
         self._sock = sock
-        self._starved = False  # the last send failed for want of memory: a poll would call the socket writable
         sock.setblocking(False)
         with suppress(OSError):  # it works without
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
