A configuration that cannot be read at its signal is read again for 3 s

Cause: service._follow read the file once; one that was half written, or could not be opened for a moment, was kept out for good, and the relay went on asking where discovery no longer is. Change: _Reloads tries again after growing pauses, 3 s in all, inside the 4 s after which a new configuration counts.

--- a/calicohitch/service.py
+++ b/calicohitch/service.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 import anyio
+from anyio.abc import TaskGroup
 from loguru import logger
 
 from .clock import Clock, to_ms
@@ -36,6 +37,7 @@
 _MB = 1_000_000  # the platform counts disk in these
 _HAND_OVER_S = 2.0  # for the attempts that are out, and again for what is to be copied
 _AGAIN_S = 0.05  # between two tries of what may work a little later
+_RELOAD_PAUSES_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.5)  # a new configuration counts 4 s after its signal
 _SETTLE_S = 0.5  # clients keep coming for a moment after SIGTERM, and are told to go elsewhere
 
 
@@ -96,7 +98,7 @@
                 tasks.start_soon(clients.run)
                 if calls:
                     tasks.start_soon(calls.run)
-                told.reload_by(lambda: _follow(relay, reload))
+                told.reload_by(_Reloads(relay, reload, tasks).signalled)
                 await told.stop.wait()
                 logger.bind(event="relay.stopping").info("stopping: new messages are refused, open ones go on")
                 relay.stopping = True
@@ -216,10 +218,32 @@
         config.state, config.seed)
 
 
-def _follow(relay: Relay, reload: Callable[[], Config] | None) -> None:
-    """The new configuration, as it is now: also while the relay is stopping, since its notices have to arrive."""
-    try:
-        if reload:
-            relay.follow(reload())
-    except Exception as err:  # whatever is wrong with the new one, the old one still serves
-        logger.bind(event="config.kept").error("the configuration stays as it was: {}", err)
+class _Reloads:
+    """Follows the configuration as it is at each SIGHUP, also while the relay is stopping, since its notices have to
+    arrive. Guards a relay against a file that cannot be read in that moment, as whoever writes it may be in the middle
+    and sends no second signal: it is read again for a while. What stays wrong leaves the old one in force."""
+
+    def __init__(self, relay: Relay, reload: Callable[[], Config] | None, tasks: TaskGroup) -> None:
+        self._relay, self._reload, self._tasks = relay, reload, tasks
+        self._trying = False
+
+    def signalled(self) -> None:
+        if self._reload and not self._followed() and not self._trying:
+            self._trying = True
+            self._tasks.start_soon(self._try_again)
+
+    def _followed(self) -> bool:
+        assert self._reload
+        try:
+            self._relay.follow(self._reload())
+        except Exception as err:  # whatever is wrong with the new one, the old one still serves
+            logger.bind(event="config.kept").error("the configuration stays as it was: {}", err)
+            return False
+        return True
+
+    async def _try_again(self) -> None:
+        for pause in _RELOAD_PAUSES_S:
+            await anyio.sleep(pause)
+            if self._followed():
+                break
+        self._trying = False
