A randomized fault soak on real processes, and invariants that are checked as the relay runs

tests/fleet/soak.py: ten processes, three troubles at once of fourteen (kills, stops, reloads with half-written files, links, discovery, destinations, limits, drains, a disk that refuses, failing calls, set clocks, rude clients, a relay held up), with the auditor, the exit codes, the logs, unanswered connections and service after all is well as its oracle. core/invariants.py stands before each attempt: one out at a time, unsafe ones once, keyed ones inside their window; violations are counted, logged and not made. The auditor takes a drain back where the list names the endpoint as ready again; before, no scenario ever listed one again.

--- a/calicohitch/net/relay.py
+++ b/calicohitch/net/relay.py
@@ -20,6 +20,7 @@
 from ..clock import Clock, to_micros, to_ms
 from ..config import Config
 from ..core.backoff import Backoff
+from ..core.invariants import Invariant, Invariants
 from ..core.leases import Holder, shared_out
 from ..core.memory import CallMemory
 from ..core.patience import Patience
@@ -134,6 +135,7 @@
             self.leases,
         )
         self._deliveries: dict[int, Delivery] = {0: self._endpoints}
+        self.invariants = Invariants()
         self._memory = CallMemory(settings.open_cap * 4)
         self._copies, self.letting_go = copies, False
         if copies:
@@ -430,7 +432,11 @@
         entry.attempts.append(attempt)
         more, marks = (self._tracer.sending(entry.number, number, member, attempt.zone, now)
                        if self._tracer else ((), None))
-        if self._copies and self._copies.is_copied(entry.number) and not self._written(message, number, action):
+        alone = self._config.settings.second_copies or not message.calls
+        made = self.invariants.holds(Invariant.ONE_ATTEMPT_OUT, alone, entry.id)
+        if made and self._copies and self._copies.is_copied(entry.number):
+            made = self._written(message, number, action)
+        if not made:
             self._settled(message, number, action.endpoint, Result(i.Outcome.MOOT))
             return
         message.calls[number] = anyio.CancelScope()
@@ -450,6 +456,9 @@
         if number in message.written:
             return True
         entry, attempt = message.entry, message.entry.attempts[number]
+        cls = self._config.settings.classes[self._config.names.classes.index(entry.class_name)]
+        if not self.invariants.may_send(entry.id, cls, entry.attempts[: number + 1], self._clock.now()):
+            return False
         try:
             self._journal.attempt(entry.number, number, attempt.sent_at, attempt.zone)
             if self._copies and self._copies.is_copied(entry.number):
--- a/tests/faults/system.py
+++ b/tests/faults/system.py
@@ -191,21 +191,27 @@
                 mock.patch.object(selectors.EpollSelector, "_selector_cls", self._poll_class())]
 
     def _socket_class(self) -> Any:
-        failing, real = self, socket.socket
+        """Sockets of the Internet families fail; those between threads of one process are let through."""
+        ours, real = self, socket.socket
+        untouched = Failing()
+
+        def failing(sock: socket.socket) -> Failing:
+            return ours if sock.family == socket.AF_INET else untouched
 
         class Socket(real):  # type: ignore[misc, valid-type]
             def __init__(self, *args: Any, **more: Any) -> None:
-                if more.get("fileno") is None and (len(args) < 4 or args[3] is None):
-                    failing.error("socket")
+                family = args[0] if args else more.get("family", socket.AF_INET)
+                if more.get("fileno") is None and (len(args) < 4 or args[3] is None) and family == socket.AF_INET:
+                    ours.error("socket")
                 super().__init__(*args, **more)
 
             def accept(self) -> Any:
-                failing.error("accept")
+                failing(self).error("accept")
                 return super().accept()
 
             def connect_ex(self, address: Any) -> int:
                 try:
-                    failing.error("connect")
+                    failing(self).error("connect")
                 except OSError as err:
                     assert err.errno
                     return err.errno
@@ -214,33 +220,33 @@
             def getsockopt(self, level: int, name: int, *rest: Any) -> Any:
                 if (level, name) == (socket.SOL_SOCKET, socket.SO_ERROR):
                     try:
-                        failing.error("so_error")
+                        failing(self).error("so_error")
                     except OSError as err:
                         return err.errno
                 return super().getsockopt(level, name, *rest)
 
             def setsockopt(self, *args: Any) -> None:
-                failing.error("setsockopt")
+                failing(self).error("setsockopt")
                 super().setsockopt(*args)
 
             def send(self, data: Any, *rest: Any) -> int:
-                if failing.error("send") == SHORT:
+                if failing(self).error("send") == SHORT:
                     return super().send(bytes(data)[: max(1, len(data) // 2)], *rest)
                 return super().send(data, *rest)
 
             def recv(self, *args: Any) -> bytes:
-                failing.error("recv")
+                failing(self).error("recv")
                 return super().recv(*args)
 
             def shutdown(self, how: int) -> None:
-                failing.error("shutdown")
+                failing(self).error("shutdown")
                 super().shutdown(how)
 
             def close(self) -> None:
-                was_open = self.fileno() >= 0
+                was_open, plan = self.fileno() >= 0, failing(self)
                 super().close()
                 if was_open:
-                    failing.error("socket close")
+                    plan.error("socket close")
 
         return Socket
 
--- a/tests/fleet/auditor.py
+++ b/tests/fleet/auditor.py
@@ -200,6 +200,9 @@
             if event.kind == "life":
                 since = {key: at for key, at in since.items() if key[0] != event.relay}
             elif event.kind == "told":
+                ready = [key for key in since if key[0] == event.relay and key[1] not in event.draining]
+                for key in ready:  # it is listed as ready again
+                    del since[key]
                 for name in event.draining:
                     since.setdefault((event.relay, name), event.at)
             elif (at := since.get((event.relay, event.endpoint))) and (
--- a/tests/fleet/rig.py
+++ b/tests/fleet/rig.py
@@ -23,7 +23,6 @@
 import sys
 import tempfile
 from collections.abc import Callable, Iterable
-from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -318,10 +317,14 @@
         head = (f"POST /{cls} HTTP/1.1\r\nHost: x\r\nReq-Id: {wire_id}\r\nReq-Deadline-Ms: {left_s * 1e3:.0f}\r\n"
                 f"Envelope: dest={dest}\r\nIdempotency-Key: key-{wire_id.partition('.')[0]}\r\n{retry}"
                 "Content-Length: 4\r\nConnection: close\r\n\r\nbody")
-        status, again_s = 0, 0.0
-        with suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
+        status, again_s, closed = 0, 0.0, False
+        try:
             status, again_s = await asyncio.wait_for(_ask(relay.port, head.encode()), _ANSWER_S)
-        self.story.tell("client", id=wire_id, status=status, relay=relay.name, again_s=again_s)
+        except (asyncio.IncompleteReadError, ConnectionResetError, BrokenPipeError):
+            closed = True
+        except (OSError, TimeoutError):
+            pass  # nobody listens, or nobody answers in time
+        self.story.tell("client", id=wire_id, status=status, relay=relay.name, again_s=again_s, closed=closed)
         return status
 
     async def _client(self, cls: str, dest: int, where: float, left_s: float | None) -> None:
--- a/tests/fleet/side_by_side.py
+++ b/tests/fleet/side_by_side.py
@@ -12,9 +12,10 @@
 
 from fleet.auditor import Report
 from fleet.scenarios import SCENARIOS
+from fleet.soak import soak
 from fleet.takeover_scenarios import TAKEOVERS
 
-ALL = SCENARIOS | TAKEOVERS
+ALL = SCENARIOS | TAKEOVERS | {"soak": soak}
 AT_ONCE = max(2, min(4, (os.cpu_count() or 2) - 2))
 
 
--- /dev/null
+++ b/tests/fleet/soak.py
@@ -0,0 +1,279 @@
+"""A randomized fault soak: real processes under load, with troubles drawn by a seed that overlap in time.
+
+    python tests/fleet/play.py soak --seeds 1-20 --workers 2
+
+Each trouble is begun and taken back by itself, so two or three hold at once. What the auditor finds counts, and so does
+a process that breaks off, ends with an error, reports a violated invariant, closes a connection on which it read a
+request without an answer, or does not serve again once all troubles are over.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import random
+import signal
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+
+from fleet.auditor import Finding, Report
+from fleet.links import Fault, cut_off, one_way_up
+from fleet.rig import Relay, Rig
+from fleet.shims import Switch
+from fleet.standins import Destination
+
+RELAYS = 10
+LOAD_S, PER_S = 14.0, 70.0
+SETTLES_S = 10.0  # longer than any message lives, and than what a cold destination needs
+AT_ONCE = 3  # troubles that overlap
+_GONE_S = 0.05  # around a process's end its kernel closes what it had not read
+_STEPS_S = (-3_600.0, -5.0, -0.4, 0.4, 5.0, 3_600.0)
+_DISK = (errno.EIO, errno.ENOSPC)
+
+
+class Soak:
+    """One run. Each trouble is a coroutine that begins it, waits, and takes it back."""
+
+    def __init__(self, rig: Rig, seed: int) -> None:
+        self.rig, self.random = rig, random.Random(f"soak{seed}")
+        self.switches = {name: Switch() for name in rig.relays}
+        self.busy: set[str] = set()  # relays that are being restarted
+        self.findings: list[Finding] = []
+        self.troubles: tuple[Callable[[], Awaitable[None]], ...] = (
+            self.killed, self.stopped, self.reloaded, self.link_fails, self.discovery_silent, self.destination_fails,
+            self.destination_hangs, self.limit_lowered, self.endpoint_drains, self.disk_refuses, self.calls_fail,
+            self.clock_set, self.rude_clients, self.held_up)
+
+    def begin(self, name: str) -> None:
+        relay = self.rig.relays[name]
+        path = relay.folder / "switch.json"
+        self.switches[name].write(path)
+        self.rig.begin(name, f"from fleet.shims import install; install({str(path)!r}, {str(relay.state)!r})")
+
+    def switch(self, name: str, **changes: float) -> None:
+        old = self.switches[name]
+        told = {"disk": old.disk, "share": old.share, "clock_s": old.clock_s} | changes
+        self.switches[name] = Switch(int(told["disk"]), told["share"], told["clock_s"])
+        self.switches[name].write(self.rig.relays[name].folder / "switch.json")
+        self.tell(f"{name}: {self.switches[name]}")
+
+    def tell(self, what: str) -> None:
+        self.rig.story.tell("fault", what=what)
+
+    def found(self, rule: str, seen: str, *ids: str) -> None:
+        self.findings.append(Finding(rule, self.rig.story.now(), ids, seen))
+
+    def anyone(self) -> Relay | None:
+        """A relay that is up, and that nobody restarts just now."""
+        up = [relay for name, relay in sorted(self.rig.relays.items()) if relay.up and name not in self.busy]
+        return self.random.choice(up) if up else None
+
+    async def lasts(self, least: float, most: float) -> None:
+        await asyncio.sleep(self.random.uniform(least, most))
+
+    # Troubles.
+
+    async def killed(self) -> None:
+        if not (relay := self.anyone()):
+            return
+        self.busy.add(relay.name)
+        self.rig.kill(relay.name)
+        await self.lasts(0.0, 0.7)
+        await self.back(relay)
+
+    async def stopped(self) -> None:
+        """SIGTERM, and SIGKILL where it takes longer than a platform waits."""
+        if not (relay := self.anyone()):
+            return
+        self.busy.add(relay.name)
+        process = relay.process
+        assert process
+        self.rig.signal(signal.SIGTERM, relay.name)
+        try:
+            code = await asyncio.to_thread(process.wait, 3.7)
+            if code != 0:
+                self.found("exit code", f"{relay.name} ended with {code} after SIGTERM")
+        except Exception:  # it still has work
+            self.rig.kill(relay.name)
+        self.tell(f"{relay.name} is over")
+        await self.lasts(0.0, 0.3)
+        await self.back(relay)
+
+    async def back(self, relay: Relay) -> None:
+        self.begin(relay.name)
+        try:
+            await self.rig.come(relay.name)
+        except AssertionError as err:
+            self.found("start", str(err)[-1_500:])
+        self.busy.discard(relay.name)
+
+    async def reloaded(self) -> None:
+        """SIGHUP, now and then while the file is half written."""
+        if not (relay := self.anyone()) or not relay.process:
+            return
+        path = relay.folder / "config.json"
+        whole = path.read_text()
+        if self.random.random() < 0.5:
+            path.write_text(whole[: self.random.randrange(len(whole))])
+        for _ in range(self.random.randrange(1, 4)):
+            relay.process.send_signal(signal.SIGHUP)
+            await self.lasts(0.0, 0.05)
+        self.tell(f"{relay.name} reloads")
+        path.write_text(whole)
+
+    async def link_fails(self) -> None:
+        if not (relay := self.anyone()):
+            return
+        links = [relay.discovery, *relay.links.values()]
+        link = self.random.choice(links)
+        link.fault = self.random.choice((one_way_up(), Fault(stall_up=True), Fault(stall_down=True), Fault(refuse=True),
+            cut_off(), Fault(delay_s=0.3), Fault(cut_after=self.random.randrange(1, 600))))
+        self.tell(f"a link of {relay.name}: {link.fault}")
+        await self.lasts(0.2, 2.0)
+        link.fault = Fault()
+
+    async def discovery_silent(self) -> None:
+        if self.rig.discovery.silent:
+            return
+        self.rig.discovery.silent = True
+        self.tell("discovery is silent")
+        await self.lasts(0.5, 3.0)
+        self.rig.discovery.silent = False
+
+    async def destination_fails(self) -> None:
+        dest = self.random.choice(list(self.rig.dests.values()))
+        dest.fail = True
+        self.tell(f"destination {dest.number} fails")
+        await self.lasts(0.5, 4.0)
+        dest.fail = False
+
+    async def destination_hangs(self) -> None:
+        dest = self.random.choice(list(self.rig.dests.values()))
+        dest.hang = True
+        self.tell(f"destination {dest.number} hangs")
+        await self.lasts(0.3, 3.0)
+        dest.hang = False
+
+    async def limit_lowered(self) -> None:
+        dest = self.random.choice(list(self.rig.dests.values()))
+        if not dest.limit:
+            return
+        whole, dest.limit = dest.limit, dest.limit * 0.3
+        self.tell(f"destination {dest.number} takes {dest.limit}")
+        await self.lasts(1.0, 4.0)
+        dest.limit = whole
+
+    async def endpoint_drains(self) -> None:
+        name = self.random.choice(sorted(self.rig.endpoints))
+        number = self.rig.endpoints[name].dest.number
+        self.rig.discovery.list(name, number, "Terminating")
+        self.tell(f"{name} drains")
+        await self.lasts(1.0, 3.0)
+        self.rig.discovery.list(name, number)
+
+    async def disk_refuses(self) -> None:
+        if not (relay := self.anyone()):
+            return
+        self.switch(relay.name, disk=self.random.choice(_DISK))
+        await self.lasts(0.2, 3.0)
+        self.switch(relay.name, disk=0)
+
+    async def calls_fail(self) -> None:
+        if not (relay := self.anyone()):
+            return
+        self.switch(relay.name, share=self.random.choice((0.01, 0.05, 0.2)))
+        await self.lasts(0.3, 2.0)
+        self.switch(relay.name, share=0.0)
+
+    async def clock_set(self) -> None:
+        if relay := self.anyone():
+            self.switch(relay.name, clock_s=self.random.choice(_STEPS_S))
+
+    async def rude_clients(self) -> None:
+        """They connect and say nothing, say half, send much at once, or leave."""
+        if not (relay := self.anyone()):
+            return
+        held = []
+        for _ in range(self.random.randrange(5, 40)):
+            with suppress(OSError):
+                _, writer = await asyncio.open_connection("127.0.0.1", relay.port)
+                held.append(writer)
+                writer.write(self.random.choice((b"", b"POST /sco", b"GET / HTTP/1.1\r\n\r\n" * 50, b"\0" * 5_000)))
+        self.tell(f"{len(held)} rude clients of {relay.name}")
+        await self.lasts(0.0, 2.5)
+        for writer in held:
+            writer.transport.abort()
+
+    async def held_up(self) -> None:
+        """A relay stands still for as long as its machine may hold it up."""
+        if not (relay := self.anyone()) or not relay.process:
+            return
+        process, lasted = relay.process, self.random.uniform(0.02, 0.15)
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(lasted)
+        process.send_signal(signal.SIGCONT)
+        self.rig.story.tell("stall", lasted=round(lasted, 3))
+
+    # The run.
+
+    async def keep_in_trouble(self, seconds: float) -> None:
+        until = self.rig.story.now() + seconds
+        while self.rig.story.now() < until:
+            await self.random.choice(self.troubles)()
+            await self.lasts(0.0, 0.6)
+
+    def all_well(self) -> None:
+        """What no trouble takes back by itself."""
+        for name in self.rig.relays:
+            self.switch(name, disk=0, share=0.0)
+        for dest in self.rig.dests.values():
+            dest.fail = dest.hang = False
+
+    async def serves_again(self) -> None:
+        """Every relay takes a message on, and delivers it."""
+        for name, relay in self.rig.relays.items():
+            wire_id = f"again-{name}.0"
+            status = await self.rig.hand_in("scores", 1, relay, wire_id, 4.0)
+            if status != 202:
+                self.found("does not serve again", f"{name} answers {status} with nothing wrong any more", wire_id)
+
+    def read_logs(self) -> None:
+        for name, relay in self.rig.relays.items():
+            for line in relay.log().splitlines():
+                if "invariant violated" in line:
+                    self.found("invariant", f"{name}: {line}")
+
+    def unanswered(self) -> None:
+        """A connection that ends without an answer, where its relay was there all the time."""
+        ends = [event.at for event in self.rig.story.of("fault") if event.facts.get("what") == "SIGKILL"
+                or str(event.facts.get("what")).endswith("is over")]
+        begun = {event.id: event.at for event in self.rig.story.of("handed")}
+        for event in self.rig.story.of("client"):
+            if event.facts.get("closed") and not any(
+                    begun[event.id] - _GONE_S <= at <= event.at + _GONE_S for at in ends):
+                self.findings.append(Finding("closed unanswered", event.at, (event.id,), f"by {event.relay}"))
+
+
+async def soak(seed: int, code: str = "") -> Report:
+    """`code` is not used: the relays run with their shims."""
+    dests = (Destination(1, 120.0, tells_wait_ms=300.0), Destination(2, 120.0))
+    async with Rig(seed, RELAYS, dests, endpoints=3) as rig:
+        run = Soak(rig, seed)
+        for name in rig.relays:
+            run.begin(name)
+        await rig.come(*rig.relays)
+        load = rig.load(LOAD_S, PER_S)
+        troubles = [rig.during(lambda: run.keep_in_trouble(LOAD_S)) for _ in range(AT_ONCE)]
+        done = await asyncio.gather(load, *troubles, return_exceptions=True)
+        for outcome in done:
+            if isinstance(outcome, Exception):
+                raise outcome
+        run.all_well()
+        await rig.settled(SETTLES_S)
+        await run.serves_again()
+        await rig.settled(1.0)
+        run.read_logs()
+        run.unanswered()
+        report = rig.audit()
+        report.findings = sorted([*report.findings, *run.findings], key=lambda finding: finding.at)
+        return report
