--- a/tests/faults/test_sweep.py
+++ b/tests/faults/test_sweep.py
@@ -12,19 +12,21 @@
 import tempfile
 import unittest
 from collections.abc import Iterator
+from concurrent.futures import ProcessPoolExecutor
 from contextlib import suppress
 from dataclasses import dataclass, field
+from multiprocessing import get_context
 from pathlib import Path
 from unittest import mock
 
-from faults.system import ERRORS, FILES, Failing, Nth
+from faults.system import ERRORS, FILES, SHORT, Failing, Nth
 
 from calicohitch import journal as journal_module
 from calicohitch.interface import Recalled
 from calicohitch.journal import End, Entry, Journal, JournalFull
 from calicohitch.recovery.claim import Claim, Watcher
 from calicohitch.recovery.memory import Memory
-from calicohitch.recovery.problems import FolderFailing, FolderProblem
+from calicohitch.recovery.problems import FolderFailing
 
 MESSAGES = 22
 BODY = bytes(900)  # so that segments roll in the course
@@ -32,6 +34,7 @@
 BODY_FROM_END = 100  # the byte of a segment that is damaged lies in the body of its last message
 FOR_A_WHILE = 6
 MOST_CALLS = 400
+PROCESSES = 4
 TRIES = 60  # of a start or an act that is made again until the disk takes it
 
 
@@ -39,6 +42,37 @@
     """An invariant does not hold."""
 
 
+class Killed(BaseException):
+    """The process is gone in the middle of a call."""
+
+
+@dataclass
+class Torn(Nth):
+    """The n-th write takes half of its bytes, and the next ones are refused."""
+
+    def __call__(self, kind: str, number: int) -> int:
+        if kind == self.kind and number == self.number:
+            self.failed += 1
+            return SHORT
+        return Nth(self.kind, self.number + 1, self.error, self.times)(kind, number)
+
+
+@dataclass
+class KilledWithin(Nth):
+    """The n-th write takes half of its bytes, and the process is killed before its next call on the folder."""
+
+    def __call__(self, kind: str, number: int) -> int:
+        if self.failed:
+            raise Killed
+        if kind == self.kind and number == self.number:
+            self.failed += 1
+            return SHORT
+        return 0
+
+
+PLANS = {plan.__name__: plan for plan in (Nth, Torn, KilledWithin)}
+
+
 @dataclass
 class Known:
     """What the course knows: what it was told is done, and what it did in consequence."""
@@ -92,12 +126,12 @@
 class Course:
     """One life's acts on its folder."""
 
-    def __init__(self, folder: Path, left: set[int]) -> None:
-        self.folder, self.known = folder, Known(taken=set(left))
+    def __init__(self, folder: Path, known: Known) -> None:
+        self.folder, self.known = folder, known
         self.claim, self.journal, self.memory = began(folder)
         self.memory.read(1e12, "d", -1)
-        if set(self.journal.entries) != left:
-            raise Broken(f"of {sorted(left)} a start knows {sorted(self.journal.entries)}")
+        if set(self.journal.entries) != known.taken:
+            raise Broken(f"of {sorted(known.taken)} a start knows {sorted(self.journal.entries)}")
 
     def play(self) -> None:
         for step in range(MESSAGES):
@@ -188,65 +222,82 @@
         claim.close()
 
 
-def played(kind: str, number: int, error: int, times: int) -> tuple[int, int]:
+def played(kind: str, number: int, error: int, times: int, of: type[Nth] = Nth) -> tuple[int, int]:
     """Play one case; how many calls of the kind there were, and how many failed."""
     with tempfile.TemporaryDirectory() as made:
         folder = Path(made) / "state"
         prefix = str(folder)
-        plan = Nth(kind, number, error, times)
+        plan = of(kind, number, error, times)
         left = before(folder)
         failing = Failing(plan, about=lambda path: str(path).startswith(prefix))
         with failing:
-            course = Course(folder, left)
-            course.play()
-            failing.plan = lambda _kind, _number: 0
-            course.serves_again()
-            course.kill()
-            if failing.open_fds:
-                raise Broken(f"descriptors were leaked: {len(failing.open_fds)}")
-            if failing.closed_twice:
-                raise Broken("a descriptor was closed twice")
-        judge(course.known, folder)
+            known = lived(folder, left, failing)
+        judge(known, folder)
         return failing.calls[kind], plan.failed
 
 
-def cases() -> Iterator[tuple[str, int, int]]:
-    """Kind, error and how often; each is played for every n."""
+def lived(folder: Path, left: set[int], failing: Failing) -> Known:
+    """One life's whole course, to its kill; what it knew at its end."""
+    known = Known(taken=set(left))
+    try:
+        course = Course(folder, known)
+        course.play()
+        failing.plan = lambda _kind, _number: 0
+        course.serves_again()
+        course.kill()
+    except Killed:
+        failing.plan = lambda _kind, _number: 0
+        for fd in list(failing.open_fds):  # the kernel closes them
+            os.close(fd)
+    if failing.open_fds:
+        raise Broken(f"descriptors were leaked: {len(failing.open_fds)}")
+    if failing.closed_twice:
+        raise Broken("a descriptor was closed twice")
+    return known
+
+
+def cases() -> Iterator[tuple[str, int, int, str]]:
+    """Kind, error, how often, and the plan; each is played for every n."""
     for kind in FILES:
         for error in ERRORS[kind]:
             for times in (1, FOR_A_WHILE):
-                yield kind, error, times
+                yield kind, error, times, Nth.__name__
+    for kind in ("write", "pwrite"):
+        yield kind, errno.ENOSPC, 1, Torn.__name__
+        yield kind, errno.EIO, FOR_A_WHILE, Torn.__name__
+        yield kind, 0, 1, KilledWithin.__name__
+
+
+def swept(case: tuple[str, int, int, str]) -> tuple[int, list[str]]:
+    """One case for every n: how many calls failed, and what broke."""
+    kind, error, times, plan = case
+    name = "SHORT" if error < 0 else errno.errorcode.get(error, "")
+    count, broken = 0, []
+    for number in range(1, MOST_CALLS):
+        try:
+            calls, failed = played(kind, number, error, times, PLANS[plan])
+        except Exception as err:
+            broken.append(f"{plan} {kind} {name} n={number} times={times}: {type(err).__name__}: {err}")
+            continue
+        count += bool(failed)
+        if not failed and number > calls:
+            return count, broken
+    return count, [*broken, f"{kind} is called over {MOST_CALLS} times"]
 
 
 class Sweep(unittest.TestCase):
     def test_every_call_on_the_folder_fails_once_and_for_a_while(self) -> None:
-        count = 0
-        for kind, error, times in cases():
-            name = "SHORT" if error < 0 else errno.errorcode[error]
-            for number in range(1, MOST_CALLS):
-                with self.subTest(call=kind, error=name, n=number, times=times):
-                    calls, failed = played(kind, number, error, times)
-                    count += bool(failed)
-                if not failed and number > calls:
-                    break
-            else:
-                self.fail(f"{kind} is called over {MOST_CALLS} times")
-        self.assertGreater(count, 1_000)
-        print(f"{count} cases")
+        with ProcessPoolExecutor(PROCESSES, get_context("spawn")) as pool:
+            results = list(pool.map(swept, cases()))
+        self.assertEqual([found for _, broken in results for found in broken], [])
+        self.assertGreater(sum(count for count, _ in results), 2_000)
 
 
 class Planted(unittest.TestCase):
     """The sweep finds faults that are planted for it."""
 
-    def found(self, kind: str, error: int, times: int = 1) -> bool:
-        for number in range(1, MOST_CALLS):
-            try:
-                calls, failed = played(kind, number, error, times)
-            except (Broken, OSError, FolderProblem):
-                return True
-            if not failed and number > calls:
-                return False
-        return False
+    def found(self, kind: str, error: int, plan: type[Nth] = Nth) -> bool:
+        return bool(swept((kind, error, 1, plan.__name__))[1])
 
     def test_a_record_that_is_dropped(self) -> None:
         def drops(self: Journal, kind: int, number: int, data: bytes) -> None:
@@ -261,7 +312,7 @@
             journal_module._write_all(self._fd, record)
 
         with mock.patch.object(Journal, "_written", leaves):
-            self.assertTrue(self.found("write", errno.ENOSPC))
+            self.assertTrue(self.found("write", errno.ENOSPC, Torn))
 
     def test_a_descriptor_that_leaks(self) -> None:
         with mock.patch.object(Journal, "_close_newest", lambda self: setattr(self, "_fd", -1)):
