What a list of thousands costs follows what changed, and is read in slices

Cause: storing what is known built and encoded all of the list every second, and threw it away behind 64 KiB; a whole list that followed another was parsed line by line and told to the decisions entire, in one turn of the loop. Change: lines are compared with what was told before; a whole list that follows another is told as its changes, what has gone included, whose idle connections are closed by it as those of a drain are; long lists are read 100 lines a turn; a list that cannot be stored is not written down; routes of which nothing is known are not stored.

--- a/calicohitch/net/discovery.py
+++ b/calicohitch/net/discovery.py
@@ -4,8 +4,9 @@
 
 import json
 import math
-from collections.abc import Callable
-from dataclasses import dataclass, replace
+from collections.abc import Callable, Mapping, Sequence
+from contextlib import suppress
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import anyio
@@ -22,6 +23,7 @@
 
 _MAX_LIST = 16 << 20
 _CATCHES_UP_S = 6.5  # news counts as told after 6 s: a discovery that is behind for longer has lost its own
+_SLICE = 100  # lines that are read in one turn of the loop: under 3 ms
 _MOST_LEFT = 4_096  # endpoints of which it is remembered that they were told to go
 _PHASES = {"Ready": Phase.READY, "Terminating": Phase.DRAINING, "Gone": Phase.GONE}
 
@@ -32,16 +34,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Update:
-    """One answer of discovery."""
+    """One answer of discovery. `changes`, of a whole list that follows another: all that differs from it, what has
+    gone included."""
 
     version: int
     complete: bool
     entries: tuple[Listed, ...]
     behind: bool = False  # it is older than what was told before
+    changes: tuple[Listed, ...] | None = None
 
     def told(self, cached: bool = False) -> ListTold:
-        kind = ListKind.FULL if self.complete else ListKind.DELTA
-        return ListTold(ListKind.CACHED if cached else kind, self.version, self.entries)
+        """For the decisions, which take as long over a list as it has entries: no more of them than are needed."""
+        if cached:
+            return ListTold(ListKind.CACHED, self.version, self.entries)
+        if self.changes is not None:
+            return ListTold(ListKind.DELTA, self.version, self.changes)
+        return ListTold(ListKind.FULL if self.complete else ListKind.DELTA, self.version, self.entries)
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +59,7 @@
     id: str
     listed: Listed
     address: Address | None
+    line: Mapping[str, Any] | None = field(default=None, compare=False, repr=False)  # as discovery told it last
 
 
 class Directory:
@@ -64,6 +73,8 @@
         self._last = 0
         self._dests: set[int] = set()
         self._newest = -1
+        self._ahead: dict[str, Member] = {}  # lines of the next list that were read ahead, by name
+        self._stored: list[dict[str, Any]] | None = None  # what `told` gives, until the list changes
         self._left: dict[str, int] = {}  # who was told to drain or to be gone -> its last start, in microseconds
 
     def knows(self, dest: int) -> bool:
@@ -92,10 +103,15 @@
             self._left.clear()
         if not behind:
             self._newest = version
-        entries = []
+        follows = complete and not behind and not anew and bool(self._members)
+        entries, changes = [], []
         for item in items:
+            if (known := self._unchanged(item)) is not None:
+                entries.append(known.listed)
+                self._left.pop(known.id, None)
+                continue
             try:
-                member = self._member(item)
+                member = self._read_ahead(item) or self._member(item)
             except (ConfigError, KeyError, TypeError, ValueError, OverflowError, AttributeError) as err:
                 logger.warning("a line of the list cannot be read: {}: {} in {}", type(err).__name__, err, item)
                 number = self._numbers.get(str(item.get("id"))) if isinstance(item, dict) else None
@@ -107,6 +123,8 @@
                     continue
                 member = self._members[number]  # which drains
             entries.append(member.listed)
+            changes.append(member.listed)
+            self._stored = None
             if member.listed.phase is Phase.READY:
                 self._left.pop(member.id, None)
             else:
@@ -122,8 +140,29 @@
             for endpoint in self._members.keys() - {entry.endpoint for entry in entries}:
                 if not behind:  # one that is behind may not know it yet
                     self._goes(self._members[endpoint])
+                changes.append(replace(self._members[endpoint].listed, phase=Phase.GONE))
                 self._forget(endpoint)
-        return Update(version, complete, tuple(entries), behind)
+        return Update(version, complete, tuple(entries), behind, tuple(changes) if follows else None)
+
+    def read_ahead(self, items: Sequence[Any]) -> None:
+        """Read some lines of the list that comes next: a long list is read in slices, between which others have their
+        turn. What cannot be read is met again by `read`."""
+        for item in items:
+            with suppress(ConfigError, KeyError, TypeError, ValueError, OverflowError, AttributeError):
+                if self._unchanged(item) is None:
+                    member = self._member(item)
+                    self._ahead[member.id] = member
+
+    def _read_ahead(self, item: Any) -> Member | None:
+        member = self._ahead.pop(str(item.get("id")), None) if self._ahead and isinstance(item, dict) else None
+        return member if member and member.line is item else None
+
+    def _unchanged(self, item: Any) -> Member | None:
+        """The endpoint that is ready, and was told by just this line before."""
+        if not isinstance(item, dict) or not isinstance(name := item.get("id"), str):
+            return None
+        member = self._members.get(self._numbers.get(name, 0))
+        return member if member and member.line == item else None
 
     def _goes(self, member: Member) -> None:
         self._left.pop(member.id, None)
@@ -132,7 +171,15 @@
             del self._left[next(iter(self._left))]
 
     def told(self) -> list[dict[str, Any]]:
-        """What is known of all endpoints that are not gone, in discovery's form."""
+        """What is known of all endpoints that are not gone, in discovery's form; made anew where that has changed."""
+        if self._stored is None:
+            self._stored = self._made_told()
+        return self._stored
+
+    def __len__(self) -> int:
+        return len(self._members)
+
+    def _made_told(self) -> list[dict[str, Any]]:
         phases = {phase: word for word, phase in _PHASES.items()}
         return [{"id": m.id, "host_port": str(m.address) if m.address else "", "locality": m.listed.zone,
                  "flavor": m.listed.kind, "cell": m.listed.dest, "phase": phases[m.listed.phase],
@@ -145,6 +192,7 @@
     def _forget(self, endpoint: int) -> None:
         if member := self._members.pop(endpoint, None):
             del self._numbers[member.id]
+            self._stored = None
 
     def _member(self, item: dict[str, Any]) -> Member:
         phase, name = _PHASES[item["phase"]], str(item["id"])
@@ -152,7 +200,7 @@
         number = self._numbers.get(name)
         if phase is not Phase.READY and number is not None:  # what goes may be told by its id alone
             known = self._members[number]
-            return replace(known, listed=replace(known.listed, phase=phase))
+            return replace(known, listed=replace(known.listed, phase=phase), line=None)
         if not (math.isfinite(weight := float(item.get("size", 1.0))) and weight >= 0):
             raise ValueError(f"size is {weight}")
         if number is None:
@@ -167,7 +215,7 @@
             since=to_micros(item.get("up_since_ms", 0)),
             speaks=self._speaks(name, str(item.get("flavor", "")), int(item["cell"])),
         )
-        return Member(name, entry, address)
+        return Member(name, entry, address, item if phase is Phase.READY else None)
 
 
 class Discovery:
@@ -230,6 +278,13 @@
                     await self._moved.wait()
                     self._patience.answered()
 
+    async def _read_ahead(self, told: Any) -> None:
+        items = told.get("members") if isinstance(told, dict) else None
+        if isinstance(items, list) and len(items) > _SLICE:
+            for first in range(0, len(items), _SLICE):
+                self._directory.read_ahead(items[first : first + _SLICE])
+                await anyio.sleep(0)
+
     def _pause_s(self, err: Exception) -> float:
         """Until the next question. Where this machine could not even ask, discovery has nothing to be spared from."""
         if of_this_machine(err, Step.CONNECTED):
@@ -246,7 +301,9 @@
         response = await self._agent.request("GET", target, self._patience.limit_s(wait))
         if response.status != 200:
             raise ListError(f"the answer is {response.status}")
-        update = self._directory.read(json.loads(response.body), anew)
+        told = json.loads(response.body)
+        await self._read_ahead(told)
+        update = self._directory.read(told, anew)
         if not update.behind:
             self._believed_at = None
         elif self._believed_at is None:
--- a/calicohitch/net/relay.py
+++ b/calicohitch/net/relay.py
@@ -10,7 +10,7 @@
 from collections import deque
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import anyio
 from anyio.abc import TaskGroup
@@ -28,6 +28,7 @@
 from ..core.tasks import restarted
 from ..journal import Attempt, End, Entry, Journal, JournalFull
 from ..recovery import doubts
+from ..recovery.beliefs import MOST_MEMBERS
 from ..recovery.memory import Memory
 from ..recovery.phases import Did, Return
 from ..rules import Sender
@@ -365,7 +366,11 @@
         if self._memory_of_world and self._journal.may_act():
             self.heard_since_kept = False
             self._memory_of_world.keep(self._clock.now(), self._sender.known(), self._name_of,
-                str(self._config.discovery), self._discovery.version, self._directory.told)
+                str(self._config.discovery), self._discovery.version, self._storable)
+
+    def _storable(self) -> Sequence[dict[str, Any]]:
+        """The list in discovery's form; nothing where it is too long to be stored."""
+        return self._directory.told() if len(self._directory) <= MOST_MEMBERS else ()
 
     def _name_of(self, endpoint: int) -> str:
         member = self._directory.get(endpoint)
--- a/calicohitch/recovery/beliefs.py
+++ b/calicohitch/recovery/beliefs.py
@@ -18,6 +18,7 @@
 
 FORMAT = 1
 MOST_BYTES = 64 << 10
+MOST_MEMBERS = MOST_BYTES // 100  # none takes fewer bytes: a longer list is left out before it is written down
 LIST_MS = 600_000.0  # discovery is asked anyway; an older list names too few that are still there
 LIMIT_MS = 30_000.0  # the first answer replaces it; destinations change limits within a minute
 HEALTH_MS = 10_000.0  # the longest ramp on the platform
--- a/calicohitch/recovery/memory.py
+++ b/calicohitch/recovery/memory.py
@@ -18,6 +18,7 @@
 from . import beliefs, clocks
 from .keeper import Keeper
 
+_NO_SHARE = (0.0, 1.0, 0.0)  # of a route that no answer told a limit of, and no message came for
 _WORTH_A_LINE_MS = 1_000.0  # clocks that are steered differ by less
 _EVERY_MS = 1_000.0  # between two writes, while something changes or work is open
 
@@ -93,12 +94,13 @@
         return wall - self._kept_at >= _EVERY_MS
 
     def keep(self, wall: float, known: Recalled, name: Callable[[int], str], discovery: str, revision: int | None,
-             members: Callable[[], list[dict[str, Any]]]) -> None:
-        """Store what is known now; `members` in discovery's form."""
+             members: Callable[[], Sequence[dict[str, Any]]]) -> None:
+        """Store what is known now; `members` in discovery's form. Routes of which nothing is known are left out."""
         self._kept_at = wall
         routes = tuple(
             beliefs.KnownRoute(was.dest, name(was.endpoint) if was.endpoint is not None else "", *was.share, was.sick,
-                max(0.0, to_ms(was.cold_at)), to_ms(was.wait_until)) for was in known.routes)
+                max(0.0, to_ms(was.cold_at)), to_ms(was.wait_until)) for was in known.routes
+            if was.share != _NO_SHARE or was.sick or was.cold_at > 0 or was.wait_until)
         on_time = dict(zip(self._classes, known.on_time, strict=True))
         told = beliefs.Beliefs(clocks.now(wall), self._life, discovery, -1 if revision is None else revision,
             tuple(members()), routes, on_time)
