--- a/tests/faults/test_many_endpoints.py
+++ b/tests/faults/test_many_endpoints.py
@@ -16,7 +16,7 @@
 
 
 def members(count: int) -> list[dict[str, Any]]:
-    return [member(f"127.0.{n // 250}.{n % 250}:80", f"s-{n}", n // 10) for n in range(count)]
+    return [member(f"127.0.{n // 250}.{n % 250}:80", f"t-{n}", n // 10) for n in range(count)]
 
 
 def directory() -> Directory:
@@ -36,12 +36,12 @@
         items[3]["phase"] = "Terminating"
         items[7]["size"] = 9.0
         gone = known.number(items.pop(5)["id"])
-        items.append(member("127.0.0.9:81", "s-new", 1))
+        items.append(member("127.0.0.9:81", "t-new", 1))
         second = known.read(told(2, items)).told()
         self.assertEqual(second.kind, ListKind.DELTA)
         found = {entry.endpoint: (entry.phase, entry.weight) for entry in second.entries}
-        self.assertEqual(found, {known.number("s-3"): (Phase.DRAINING, 2.0), known.number("s-7"): (Phase.READY, 9.0),
-                                 known.number("s-new"): (Phase.READY, 2.0), gone: (Phase.GONE, 2.0)})
+        self.assertEqual(found, {known.number("t-3"): (Phase.DRAINING, 2.0), known.number("t-7"): (Phase.READY, 9.0),
+                                 known.number("t-new"): (Phase.READY, 2.0), gone: (Phase.GONE, 2.0)})
         self.assertEqual(known.read(told(3, items)).told().entries, second.entries[:1])  # who drains is told again
         self.assertEqual(len(known), 40)
 
@@ -63,7 +63,7 @@
         self.assertIs(known.told(), before)
         items[2]["size"] = 5.0
         known.read(told(3, items))
-        self.assertEqual([one["size"] for one in known.told() if one["id"] == "s-2"], [5.0])
+        self.assertEqual([one["size"] for one in known.told() if one["id"] == "t-2"], [5.0])
 
     @in_world
     async def test_the_loop_has_turns_while_thousands_of_lines_are_read(self, world: World) -> None:
