Copies of others' work: their owner's times, their end on the disk before it is acknowledged

A set of copies that could not be read for a moment was removed (on: '[] != [1]'): it is read again, and left for a later life. The file that names a set was cut before it was written, so a kill in between lost the set: it is replaced whole (core/files.py).

--- a/calicohitch/journal.py
+++ b/calicohitch/journal.py
@@ -170,14 +170,16 @@
 
     def __init__(
         self, folder: Path, disk_bytes: float, life: int = 0, check: Callable[[], None] = lambda: None,
-        moment: Moment | None = None, complete: bool = False,
+        moment: Moment | None = None, complete: bool = False, own_times: bool = True,
     ) -> None:
         """`moment`: now, by the clock that this life tells times by. `complete`: OSError where a segment cannot be read
-        for a reason that may pass; without it such a segment is left as it is."""
+        for a reason that may pass; without it such a segment is left as it is. `own_times`: the records' times are by
+        this relay's clock, and moved where that was set meanwhile; those of copies are their owner's."""
         self._budget = int(disk_bytes * DISK_SHARE)
         self._roll_at = max(4096, min(128 << 10, self._budget // 16))
         self._folder, self._life, self._check, self._complete = folder, life, check, complete
         self._moment = moment or clocks.now(Clock().now())
+        self._own_times = own_times
         self._segments: deque[_Segment] = deque()
         self._home: dict[int, _Segment] = {}  # open message -> the segment that it was taken on in
         self._owed: deque[_Owed] = deque()
@@ -256,10 +258,11 @@
             if number not in self._home:
                 segment = self._home[number] = self._append(_Kind(kind), number, data)
                 segment.open += 1
-        elif kind == _Kind.CLOSED:
-            self.closed(number)
         elif number in self._home:
             self._append(_Kind(kind), number, data)
+            if kind == _Kind.CLOSED:
+                self._forget(number)
+                self._drop_oldest()
         return int(number)
 
     def is_open(self, number: int) -> bool:
@@ -550,6 +553,8 @@
 
     def _set_by(self, header: bytes, before: float | None) -> float | None:
         """What is to be added to the times of a segment; where its header tells no moment, what held `before` it."""
+        if not self._own_times:
+            return None
         if len(header) < _HEADER.size + _MOMENT.size:
             return None if len(header) == _HEADER.size else before
         wall, mono = _MOMENT.unpack_from(header, _HEADER.size)
--- a/calicohitch/takeover/holdings.py
+++ b/calicohitch/takeover/holdings.py
@@ -9,6 +9,7 @@
 import json
 import secrets
 import shutil
+import time
 from collections.abc import Callable, Iterable, Iterator
 from contextlib import suppress
 from dataclasses import replace
@@ -17,11 +18,15 @@
 
 from loguru import logger
 
+from ..core.files import replace_text
+from ..core.system_errors import RETRY_PAUSE_S, Retry, Step, trouble
 from ..fleet.records import part_of
 from ..journal import Entry, Journal, JournalFull
 from .offsets import Offset
 
 _MOST_OWNERS = 256
+_NAME = "held"  # the file that names a set
+_READS = 10  # of a set that cannot be read, before it is left as it is
 
 
 class NoRoom(Exception):
@@ -37,7 +42,7 @@
         self.folder, self.owner, self.epoch, self.parts, self.name = folder, owner, epoch, parts, name
         self.gave_up = set(gave_up)
         self._budget = budget
-        self.journal = Journal(folder, budget)
+        self.journal = Journal(folder, budget, own_times=False)
         self.waits: dict[int, float] = {}  # route -> until when, by the owner's clock
         self.offset = Offset()
         self.whole_at = 0.0  # by the owner's clock: all that it did before then has come
@@ -54,7 +59,7 @@
     def note(self) -> None:
         """Write what names this set."""
         told = {"name": self.name, "parts": self.parts, "gave_up": sorted(self.gave_up)}
-        (self.folder / "held").write_text(json.dumps(told), encoding="utf-8")
+        replace_text(self.folder / _NAME, json.dumps(told))
 
     def begin(self, part: int) -> None:
         self._fresh[part] = set()
@@ -108,7 +113,7 @@
         safe side of a key that is remembered and of a deadline; the end of an attempt that may be out as late.
         `clock_error`: by so much two relays' clocks may differ, where nothing was heard of the owner in this life."""
         self.journal.close()
-        self.journal = Journal(self.folder, self._budget)
+        self.journal = Journal(self.folder, self._budget, own_times=False)
         wanted = set(parts)
         shift = self._earliest(now, clock_error)
         latest = self.offset.highest(now)
@@ -152,18 +157,37 @@
             self._load(path)
 
     def _load(self, path: Path) -> None:
-        """A set that an earlier life held; what cannot be one is removed, since nobody can claim it."""
-        try:
-            told = json.loads((path / "held").read_text(encoding="utf-8"))
-            owner, epoch = unquote(path.name.rpartition(".")[0]), int(path.name.rpartition(".")[2])
-            held = Holding(path, owner, epoch, int(told["parts"]), str(told["name"]), self._budget,
-                [int(part) for part in told.get("gave_up", ())])
-        except (OSError, ValueError, KeyError, TypeError) as err:
-            logger.bind(event="takeover.unread").warning("copies in {} cannot be read and are removed: {}", path, err)
-            shutil.rmtree(path, ignore_errors=True)
-            return
-        held.idle_since = self._now()
-        self._sets[owner, epoch] = held
+        """A set that an earlier life held. What cannot be one is removed, since nobody can claim it; what cannot be
+        read for a moment is tried again, and then left as it is for a later life."""
+        for last in (*[False] * _READS, True):
+            try:
+                held = self._read(path)
+            except OSError as err:
+                if trouble(err, Step.FILE).retry is Retry.NEVER:
+                    self._discard(path, err)
+                    return
+                if last:
+                    logger.bind(event="takeover.unread").warning("copies in {} cannot be read now: {}", path, err)
+                    return
+                time.sleep(RETRY_PAUSE_S)
+            except (ValueError, KeyError, TypeError) as err:
+                self._discard(path, err)
+                return
+            else:
+                held.idle_since = self._now()
+                self._sets[held.owner, held.epoch] = held
+                return
+
+    def _read(self, path: Path) -> Holding:
+        told = json.loads((path / _NAME).read_text(encoding="utf-8"))
+        owner, epoch = unquote(path.name.rpartition(".")[0]), int(path.name.rpartition(".")[2])
+        return Holding(path, owner, epoch, int(told["parts"]), str(told["name"]), self._budget,
+            [int(part) for part in told.get("gave_up", ())])
+
+    @staticmethod
+    def _discard(path: Path, err: Exception) -> None:
+        logger.bind(event="takeover.unread").warning("copies in {} cannot be read and are removed: {}", path, err)
+        shutil.rmtree(path, ignore_errors=True)
 
     def __iter__(self) -> Iterator[Holding]:
         return iter(list(self._sets.values()))
