--- a/calicohitch/core/files.py
+++ b/calicohitch/core/files.py
@@ -1,7 +1,9 @@
-"""Small files that are written whole or not at all."""
+"""Writing files whole."""
 
 from __future__ import annotations
 
+import errno
+import os
 from pathlib import Path
 
 _NEW = ".new"
@@ -13,3 +15,12 @@
     new = path.with_name(path.name + _NEW)
     new.write_text(text, encoding="utf-8")
     new.replace(path)
+
+
+def write_all(fd: int, data: bytes) -> None:
+    """All of it, however few bytes each write takes; OSError where one takes none, and a part may be written."""
+    left = memoryview(data)
+    while left:
+        if not (written := os.write(fd, left)):
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+        left = left[written:]
--- a/calicohitch/journal.py
+++ b/calicohitch/journal.py
@@ -17,7 +17,6 @@
 
 from __future__ import annotations
 
-import errno
 import json
 import math
 import os
@@ -33,6 +32,7 @@
 from typing import TypeVar
 
 from .clock import Clock
+from .core.files import write_all
 from .core.system_errors import Retry, Step, trouble
 from .recovery import clocks
 from .recovery.clocks import Moment, between
@@ -372,7 +372,7 @@
         """Guards what follows against a disk that fails in the middle: half a record is cut off, and a segment that
         holds something is not written to again, since what failed once may be the file's own trouble."""
         try:
-            _write_all(self._fd, record)
+            write_all(self._fd, record)
         except OSError:
             self._spoilt = segment.size > segment.empty
             try:
@@ -386,7 +386,7 @@
         header = self._record(_Kind.HEADER, 0, _header_data(self._life, self._last + 1, self._moment))
         fd = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_TRUNC | os.O_CLOEXEC, 0o600)
         try:
-            _write_all(fd, header)
+            write_all(fd, header)
         except OSError:
             with suppress(OSError):
                 os.close(fd)
@@ -594,15 +594,6 @@
             entry.origin = Origin(str(relay), int(epoch), int(part), bool(confirmed))
 
 
-def _write_all(fd: int, data: bytes) -> None:
-    """All of it, however few bytes each write takes; OSError where one takes none."""
-    left = memoryview(data)
-    while left:
-        if not (written := os.write(fd, left)):
-            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
-        left = left[written:]
-
-
 def _header_data(life: int, number: int, moment: Moment) -> bytes:
     return _HEADER.pack(FORMAT, life, number) + _MOMENT.pack(moment.wall, moment.mono) + moment.boot.encode()
 
--- a/calicohitch/recovery/keeper.py
+++ b/calicohitch/recovery/keeper.py
@@ -7,8 +7,10 @@
 from __future__ import annotations
 
 import os
+from contextlib import suppress
 from pathlib import Path
 
+from ..core.files import write_all
 from .beliefs import MOST_BYTES, Beliefs, Unbelievable, decode
 
 _NAMES = ("beliefs-0", "beliefs-1")
@@ -43,15 +45,16 @@
         return None
 
     def write(self, data: bytes) -> None:
-        """Store it beside what was stored before; OSError where that cannot be done."""
-        self._number += 1
-        fd = os.open(self._paths[self._number % 2], os.O_WRONLY | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        """Store it beside what was stored before; OSError where that cannot be done. Guards what was stored last: a
+        write that failed may have spoilt its file, so the next one goes to the same."""
+        number = self._number + 1
+        fd = os.open(self._paths[number % 2], os.O_WRONLY | os.O_CREAT | os.O_CLOEXEC, 0o600)
         try:
-            whole = b"%016x %08x " % (self._number, len(data)) + data
-            if os.write(fd, whole) < len(whole):
-                raise OSError("the disk is full")
+            write_all(fd, b"%016x %08x " % (number, len(data)) + data)
         finally:
-            os.close(fd)
+            with suppress(OSError):  # Linux gives the descriptor back all the same, and what was written is written
+                os.close(fd)
+        self._number = number
 
 
 def _parsed(head: bytes) -> tuple[int, int]:
