--- /dev/null
+++ b/tests/faults/test_refusals.py
@@ -0,0 +1,36 @@
+"""Refusals that carry no report, where answers do: a destination that is shut may leave it out."""
+
+from __future__ import annotations
+
+import unittest
+
+from calicohitch.core.common_share import share_of
+
+SECOND = 1_000_000
+FIELDS = ("x0", "x1")
+
+
+class WithoutAReport(unittest.TestCase):
+    def test_it_found_nothing_left_all_the_same(self) -> None:
+        """Two hundred relays that held messages for a shut destination sent them at their usual rate as it came back
+        cold: simulated, 115 calls in a window whose budget was 66."""
+        for relays in (12, 200):
+            with self.subTest(relays=relays):
+                shares = [share_of(relays, FIELDS) for _ in range(2)]
+                for share in shares:
+                    for n in range(5):
+                        share.came(n * SECOND)
+                        share.told(n * SECOND, (0.8, 60.0), False)
+                for n in range(5, 9):
+                    shares[0].told(n * SECOND, (), True)
+                    shares[1].told(n * SECOND, (0.0, 60.0), True)
+                self.assertAlmostEqual(shares[0].rate(), shares[1].rate())
+
+    def test_it_tells_nothing_where_no_limit_is_known(self) -> None:
+        share = share_of(200, FIELDS)
+        share.told(SECOND, (), True)
+        self.assertEqual((share.limit, share.heard, share.rate()), (0.0, False, 0.0))
+
+
+if __name__ == "__main__":
+    unittest.main()
