--- a/calicohitch/journal.py
+++ b/calicohitch/journal.py
@@ -188,6 +188,7 @@
         self._last = 0  # number of the newest segment
         self._aside = 0  # bytes on disk of what is kept for inspection
         self.refusing = False  # the disk did not take the last record that it was given
+        self.on_refused: Callable[[], None] = lambda: None
         self.entries: dict[int, Entry] = {}
         self.damage: list[Damage] = []
         self.orphans = 0
@@ -334,6 +335,7 @@
             segment = self._write(self._record(kind, number, data) + behind)
         except OSError as err:
             self.refusing = True
+            self.on_refused()
             raise JournalFull(str(err)) from err
         except FolderProblem as err:
             raise JournalFull(str(err)) from err
--- a/calicohitch/net/relay.py
+++ b/calicohitch/net/relay.py
@@ -23,6 +23,7 @@
 from ..core.invariants import Invariant, Invariants
 from ..core.leases import Holder, shared_out
 from ..core.memory import CallMemory
+from ..core.news import News
 from ..core.patience import Patience
 from ..core.seam import Call, Copies, Delivery, Ended, How, Refusal, Reply, Result, Submission
 from ..core.tasks import restarted
@@ -36,6 +37,7 @@
 from .endpoints import Endpoints
 from .notices import Notice, Notices
 from .peers import Peers
+from .pending_ends import PendingEnds
 
 if TYPE_CHECKING:
     from ..tracing.facts import AttemptFacts
@@ -67,14 +69,6 @@
         return self.told.reply if self.told and not self.withdrawn else None
 
 
-@dataclass(frozen=True, slots=True)
-class _Unrecorded:
-    """An end whose record is owed. Until it is written, or nobody can send its message any more, it is not told."""
-
-    notice: Notice
-    deadline: float
-
-
 def _earlier(entry: Entry) -> tuple[i.EarlierAttempt, ...]:
     return tuple(
         i.EarlierAttempt(to_micros(was.sent_at), was.zone, was.may_have_run) for was in entry.attempts)
@@ -126,7 +120,9 @@
         patience = Patience(settings.asks_for_list, backoff)
         self._discovery = Discovery(config.discovery, self._directory, self._listed, patience, self.leases)
         self._waits: dict[int, float] = {}  # destination, or endpoint where those are routes apart -> its end
-        self._unrecorded: dict[int, _Unrecorded] = {}  # message -> its end, which waits for the disk
+        self._disk_refused = News()
+        journal.on_refused = self._disk_refused.tell
+        self._pending_ends = PendingEnds(journal, clock.now, self._tell_end)
         self._notices = Notices(config.discovery, self._closed, self.leases, self._may_end)
         self._endpoints = Endpoints(
             clock,
@@ -188,7 +184,7 @@
     @property
     def idle(self) -> bool:
         """Nothing is owed to anyone."""
-        ending = self._unrecorded or len(self._notices) or self._copies and self._copies.ends_waiting
+        ending = len(self._pending_ends) or len(self._notices) or self._copies and self._copies.ends_waiting
         return not self._open and not ending
 
     def take(self, told: Submission) -> int | Refusal:
@@ -594,7 +590,7 @@
             self._remember(message.entry)
             return
         self._record_end(message.entry, end)
-        self._owe_notice(message.entry, end)
+        self._pending_ends.owe(message.entry, end)
 
     def _record_end(self, entry: Entry, end: End) -> None:
         try:
@@ -602,16 +598,6 @@
         except Exception as err:  # after a restart the decisions come to an end of their own
             logger.error("journal: {}", err)
 
-    def _owe_notice(self, entry: Entry, end: End) -> None:
-        """Guards a message that was handed back, and may be elsewhere by now, against a later life that does not know
-        of its end and sends it. Past its time none does."""
-        notice = Notice(entry.number, entry.id, end)
-        if self._journal.owes(entry.number) and self._clock.now() < entry.deadline:
-            logger.warning("the end of message {} waits for the disk", entry.id)
-            self._unrecorded[entry.number] = _Unrecorded(notice, entry.deadline)
-        else:
-            self._tell_end(notice)
-
     def _tell_end(self, notice: Notice) -> None:
         if self._copies:  # a successor that does not know of the end would come to another
             self._copies.when_safe(notice.number, lambda: self._notices.add(notice))
@@ -619,15 +605,13 @@
             self._notices.add(notice)
 
     async def _write_owed(self) -> None:
-        """Try again what the disk refused, and tell the ends that waited for it."""
+        """Try again what the disk refused, and tell the ends that waited for it. Asleep while it refuses nothing."""
         while True:
+            if not (self._journal.refusing or len(self._pending_ends)):
+                await self._disk_refused.wait()
             await anyio.sleep(_DISK_S)
             self._journal.write_owed()
-            now = self._clock.now()
-            for number, waiting in list(self._unrecorded.items()):
-                if not self._journal.owes(number) or now >= waiting.deadline:
-                    del self._unrecorded[number]
-                    self._tell_end(waiting.notice)
+            self._pending_ends.release()
 
     def _closed(self, number: int) -> None:
         try:
@@ -694,7 +678,7 @@
             if self._tracer:
                 self._tracer.recovered(entry)
             if entry.end:
-                self._owe_notice(entry, entry.end)
+                self._pending_ends.owe(entry, entry.end)
             else:
                 self._open[entry.number] = _Open(entry, accepted=True)
                 self._by_id[entry.id] = entry.number
