--- a/calicohitch/net/peers.py
+++ b/calicohitch/net/peers.py
@@ -4,6 +4,7 @@
 
 import socket
 from collections.abc import Callable
+from contextlib import suppress
 
 import anyio
 from loguru import logger
@@ -20,7 +21,9 @@
         self._peers, self._everyone, self._heard = peers, everyone, heard
         self._numbers = {(peer.host, peer.port): n for n, peer in enumerate(peers)}
         self._listen = listen
-        self._sock: socket.socket | None = None  # until its address is free
+        self._sock: socket.socket | None = None
+        with suppress(OSError):  # its address may not be free yet: `run` tries again
+            self._sock = self._opened()
 
     def tell(self, peer: int | None, data: bytes) -> None:
         """Send a note to one relay, or to all where `peer` is None; one that cannot be sent is lost."""
