--- a/tests/fleet/scenarios.py
+++ b/tests/fleet/scenarios.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import signal
 from collections.abc import Awaitable, Callable
 
@@ -13,6 +14,7 @@
 from fleet.links import Fault, cut_off, one_way_up
 from fleet.standins import Destination
 from fleet.rig import Rig
+from fleet.stray import Kind, Stray
 
 Scenario = Callable[[int, str], Awaitable[Report]]
 SCENARIOS: dict[str, Scenario] = {}
@@ -409,3 +411,54 @@
 async def herd_24(seed: int, code: str = "") -> Report:
     """24 relays, 17 killed in the same instant under load; only in the long list."""
     return await _herd(seed, code, 24, 17, limit=100.0)
+
+
+async def _stray(seed: int, code: str, *troubles: Stray, platform: bool = False) -> Report:
+    """Endpoints, or the platform's agent, send bytes that answer no call, one trouble after the other."""
+    dests = tuple(Destination(number, takes_s=0.08, errs=0.09, refuses=0.05) for number in (1, 2))
+    async with Rig(seed, 2, dests, code=code) as rig:
+        await rig.start()
+        load = rig.load(2.0 * len(troubles), 150.0)
+        for stray in troubles:
+            for server in [rig.discovery.server] if platform else [e.server for e in rig.endpoints.values()]:
+                server.stray = stray
+            if platform:
+                rig.discovery.drops_reports, rig.discovery.reports_take_s = 0.2, 0.02
+                for dest in rig.dests.values():
+                    dest.errs = 0.6
+            await asyncio.sleep(2.0)
+        await load
+        rig.discovery.drops_reports = 0.0
+        await rig.settled(9.0)
+        report = rig.audit()
+        report.story.tell("stray", sent=sum(stray.sent for stray in troubles))
+        return report
+
+
+@_scenario
+async def stray_copies(seed: int, code: str = "") -> Report:
+    """As in staging: second copies of answers, some ms behind them."""
+    draw = random.Random(seed)
+    return await _stray(seed, code, *(Stray(draw, share, [Kind.COPY], (0.009, 0.012)) for share in (0.02, 0.3)))
+
+
+@_scenario
+async def stray_bytes(seed: int, code: str = "") -> Report:
+    """Every kind of such bytes, at once, soon, or in the middle of a later call; on new connections too."""
+    draw = random.Random(seed)
+    delays = ((0.0, 0.0), (0.0005, 0.003), (0.005, 0.2), (0.2, 3.0))
+    return await _stray(seed, code, *(Stray(draw, 0.3, delays_s=span, early=0.05) for span in delays))
+
+
+@_scenario
+async def stray_rare(seed: int, code: str = "") -> Report:
+    """Seldom enough that a connection is used many times between two of them."""
+    draw = random.Random(seed)
+    return await _stray(seed, code, *(Stray(draw, 0.01, delays_s=span) for span in ((0.0005, 0.05), (0.05, 1.0))))
+
+
+@_scenario
+async def stray_platform(seed: int, code: str = "") -> Report:
+    """The platform's agent sends them, and closes some connections without an answer."""
+    draw = random.Random(seed)
+    return await _stray(seed, code, *(Stray(draw, 0.3, delays_s=(0.001, 0.05)) for _ in range(2)), platform=True)
--- a/tests/fleet/standins.py
+++ b/tests/fleet/standins.py
@@ -17,6 +17,7 @@
 
 from fleet.links import Listener
 from fleet.story import Story
+from fleet.stray import Stray
 
 _LOOK_S = 0.01  # between two looks whether a caller is still there
 
@@ -47,11 +48,14 @@
         super().__init__()
         self._handle, self._connected = handle, connected
         self.names: dict[int, str] = {}
+        self.stray: Stray | None = None
 
     async def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         port = writer.get_extra_info("peername")[1]
         with suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError, ValueError):
             new = True
+            if self.stray and (early := self.stray.before()):
+                writer.write(early)
             while True:
                 request = await self._request(reader, port)
                 if new:
@@ -62,10 +66,27 @@
                     break
                 status, headers, body = answer
                 lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
-                writer.write(f"HTTP/1.1 {status} X\r\n{lines}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+                data = f"HTTP/1.1 {status} X\r\n{lines}Content-Length: {len(body)}\r\n\r\n".encode() + body
+                writer.write(self._with_stray(data, writer))
                 await writer.drain()
         writer.close()
 
+    def _with_stray(self, answer: bytes, writer: asyncio.StreamWriter) -> bytes:
+        """The answer, with the bytes that follow it at once; later ones are written when they are due."""
+        following = self.stray.after(answer) if self.stray else None
+        if following is None:
+            return answer
+        delay_s, data = following
+        if not delay_s:
+            return answer + data
+
+        def send() -> None:
+            if not writer.is_closing():
+                writer.write(data)
+
+        asyncio.get_running_loop().call_later(delay_s, send)
+        return answer
+
     async def _request(self, reader: asyncio.StreamReader, port: int) -> Request:
         """Who calls is known by the time a request is whole: the link names a connection once it is up."""
         return replace(await read_request(reader), relay=self.names.get(port, ""))
@@ -88,7 +109,8 @@
 class Destination:
     """What its endpoints share. `limit` calls a second from all relays, in spans of one second; above it a call is
     refused, with a wait where it tells one. While cold it takes a part of its capacity, and more than `tip` times
-    that for `fall_s` makes it fall over. `hang` and `fail` are troubles that last until taken back."""
+    that for `fall_s` makes it fall over. `hang`, `fail`, `errs` and `refuses` are troubles that last until taken
+    back."""
 
     number: int
     limit: float = 0.0
@@ -102,6 +124,8 @@
     cold_at: float | None = None  # since when it warms up
     hang: bool = False
     fail: bool = False
+    errs: float = 0.0  # share of the calls that are answered 500 after they ran
+    refuses: float = 0.0  # share of the calls that are answered 503
     fallen: bool = False
     span: int = -1
     in_span: int = 0
@@ -163,8 +187,10 @@
             if not dest.admits(now):
                 wait = {"Wait-Ms": f"{dest.tells_wait_ms:.0f}"} if dest.tells_wait_ms else {}
                 return self._answered(call, facts, 429 if wait else 503, wait)
+            drawn = self._random.random()
             await asyncio.sleep(dest.takes_s * (0.5 + self._random.random()))
-            return self._answered(call, facts, 200, {})
+            status = 503 if drawn < dest.refuses else 500 if drawn < dest.refuses + dest.errs else 200
+            return self._answered(call, facts, status, {})
         except asyncio.CancelledError:
             story.tell("unanswered", call=call, **facts)
             raise
@@ -183,6 +209,9 @@
         self.members: dict[str, dict[str, Any]] = {}
         self.revision = 1
         self.silent = False
+        self.drops_reports = 0.0  # share of the notices' requests whose connections are closed unread and unanswered
+        self.reports_take_s = 0.0
+        self._random = random.Random("reports")
         self._changed = asyncio.Event()
         self.server = Server(self._handle)
 
@@ -203,6 +232,9 @@
 
     async def _handle(self, request: Request) -> tuple[int, dict[str, str], bytes] | None:
         if request.target == "/reports":
+            await asyncio.sleep(self.reports_take_s)
+            if self._random.random() < self.drops_reports:
+                return None
             for line in request.body.splitlines():
                 told = json.loads(line)
                 self._story.tell(
--- a/tests/fleet/test_scenarios.py
+++ b/tests/fleet/test_scenarios.py
@@ -69,6 +69,20 @@
         self.kept(self.plays["test_folders_and_links"])
 
 
+class StrayBytes(unittest.TestCase):
+    plays = {
+        "test_they_decide_no_message": [
+            Play(name, SEED) for name in ("stray_copies", "stray_bytes", "stray_rare", "stray_platform")
+        ]
+    }
+
+    def test_they_decide_no_message(self) -> None:
+        for report in SIDE_BY_SIDE.reports(self.plays["test_they_decide_no_message"]):
+            self.assertFalse(report.findings, report.text())
+            self.assertGreater(report.delivered, 10, report.text())
+            self.assertGreater(sum(event.sent for event in report.story.of("stray")), 0)
+
+
 class Mutants(unittest.TestCase):
     plays = {"test_each_is_found": [Play(scenario, SEED, mutant) for mutant, scenario in SHOWN_BY.items()]}
 
