Data that comes before a request's last byte is no answer to it

Callers saw: a response that an endpoint had sent before the call (on a new connection, or while a long request was being written) ended the message as delivered, or sent it again while the call was out.

Cause: ClientConnection.request wrote without a look, and took the first bytes it read afterwards. Evidence: the test of new connections gave (OK, True) with nothing read by the endpoint. Now unread data, or an end, is looked for before each write, since each may have the last byte; the connection is closed before that byte, so the call has surely not begun.

test_the_rest_of_an_answer_in_the_turn_in_which_the_time_is_up sent its first half right after the accept, without waiting for the request; it now reads the request first, and checks the same.

--- a/calicohitch/net/http.py
+++ b/calicohitch/net/http.py
@@ -50,6 +50,10 @@
     """The server has moved to another address: a request to the old one says nothing about it."""
 
 
+class UnsolicitedBytes(ConnectionResetError):
+    """The server sent data, or ended the connection, before the last byte of a request: that answers no request."""
+
+
 class Ambiguous(Exception):
     """A request that another HTTP parser may read differently, or as two requests (request smuggling)."""
 
@@ -368,7 +372,8 @@
         lines = [b"%s: %s\r\n" % header for header in headers]
         if any(_FORBIDDEN_IN_HEADER.search(line, 0, len(line) - 2) for line in lines):
             raise ValueError("a header contains NUL, CR or LF")
-        await self._link.send(b"%s %s HTTP/1.1\r\n%s\r\n%s" % (method.encode(), target.encode(), b"".join(lines), body))
+        head = b"%s %s HTTP/1.1\r\n%s\r\n" % (method.encode(), target.encode(), b"".join(lines))
+        await self._send(head + body)
         self.sent = True
         if self.progress:
             self.progress(False)
@@ -379,6 +384,17 @@
                 return Response(200, {})
             raise ConnectionResetError(str(error)) from error
 
+    async def _send(self, data: bytes) -> None:
+        """Send a request. Each write may contain its last byte, so unread data is looked for before each."""
+        remaining = memoryview(data)
+        while remaining:
+            if not self._link.is_quiet():
+                raise UnsolicitedBytes("the server sent data or closed before the request was complete")
+            if sent := self._link.send_some(remaining):
+                remaining = remaining[sent:]
+            else:
+                await self._link.wait_writable()
+
     async def _response(self) -> Response:
         """The response: parsed at once if it arrives complete and in the common form, else by h11."""
         data = await self._receive()
--- a/tests/orders/test_attempts.py
+++ b/tests/orders/test_attempts.py
@@ -257,6 +257,7 @@
                     scope = anyio.CancelScope()
                     tasks.start_soon(world.call, LIMIT * 1e3, scope)
                     server = await world.accepted()
+                    await server.receive()
                     await server.send(WAIT[:40])
                     await reached.wait()
                     await server.send(WAIT[40:])
--- a/tests/orders/test_stray_bytes.py
+++ b/tests/orders/test_stray_bytes.py
@@ -31,7 +31,7 @@
 
             with anyio.fail_after(LIMIT):
                 result = await world.call(wanted=answered_already)
-                received = await Link(accepted[0]).receive()
+                received = Link(accepted[0]).receive_some()
             self.assertEqual((result.outcome, result.ended, received), (Outcome.CONNECT_FAILED, False, b""))
 
         anyio.run(run)
