No outcome is taken for good from bytes that may belong to another call

Cause: ClientConnection.reusable looked for unread bytes before a call only; what came after that look was taken for the call's answer, and each later answer on the connection for that of the call behind it.

After any other response the connection is closed before the outcome is passed on, and the attempt may have run (Settled.indeterminate). A message that may not be repeated is sent again only after half a second without further bytes. Idle connections are watched; an endpoint that sent surplus bytes has its connections used once each for a while. Reasons of closes are counted and logged.

--- a/calicohitch/core/protocols.py
+++ b/calicohitch/core/protocols.py
@@ -100,13 +100,35 @@
     more: Sequence[tuple[bytes, bytes]] = ()  # additional headers
     marks: AttemptFacts | None = None  # where its progress is recorded for tracing
     content: Any = None
+    runs_once: bool = False  # its message may not be repeated, so that a refusal has to be certain
+
+
+class Confirmation:
+    """Whether a response that ended a message was the one to its call, where that is known only later."""
+
+    def __init__(self) -> None:
+        self._confirmed: bool | None = None
+        self._then: Callable[[bool], None] | None = None
+
+    def resolve(self, confirmed: bool) -> None:
+        """Called once by the delivery."""
+        self._confirmed = confirmed
+        if self._then:
+            self._then(confirmed)
+
+    def when_known(self, then: Callable[[bool], None]) -> None:
+        """Call `then` with the answer, now or later."""
+        self._then = then
+        if self._confirmed is not None:
+            then(self._confirmed)
 
 
 @dataclass(frozen=True, slots=True)
 class Result:
     """How a call ended. `ended`: its message needs nothing more. `wait`: the retry-after in milliseconds. `stale`: its
     connection was kept alive from an earlier call, and broke before any answer. `answer` is passed to the message's
-    `Reply`."""
+    `Reply`. `indeterminate`: the response may be another call's, so the attempt may have run, whatever the outcome
+    says. `confirmation`: of a message that has ended by a response which may be another call's."""
 
     outcome: Outcome
     ended: bool = False
@@ -115,6 +137,12 @@
     report: tuple[float, ...] = ()
     stale: bool = False
     answer: Any = None
+    indeterminate: bool = False
+    confirmation: Confirmation | None = None
+
+    @property
+    def may_have_run(self) -> bool:
+        return self.indeterminate or not self.outcome.never_ran
 
 
 class Replicator(Protocol):
--- a/calicohitch/interface.py
+++ b/calicohitch/interface.py
@@ -266,7 +266,7 @@
 class Settled:
     """The only outcome of an attempt. `ended`: the message is finished and needs no final answer. `stale`: the attempt
     broke before any answer, on a connection kept alive from an earlier call, which is no sign of the endpoint's health.
-    """
+    `indeterminate`: the answer may be that to another call, so the attempt may have run, whatever the outcome says."""
 
     message: int
     attempt: int
@@ -278,6 +278,7 @@
     slots_taken: bool = False
     report: tuple[float, ...] = ()
     stale: bool = False
+    indeterminate: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/calicohitch/net/connection_pool.py
@@ -0,0 +1,271 @@
+"""Open connections to endpoints, and what their bytes prove.
+
+On HTTP/1.1 a response belongs to a call by its order on the connection alone, so it may be left over from an earlier
+call, or have been sent unasked. No outcome is taken from such bytes for good (`docs/design/surplus.md`):
+
+- A response that ends a message is provisional. It is confirmed once the call's time is over and the connection was
+  silent since: otherwise the call's own response would have come. Other bytes, or an early end of the connection,
+  refute it.
+- After any other response the connection is closed, since the call may still be running on it.
+- Bytes on an idle connection are noticed at once. They close it, and the endpoint's connections are used once each for
+  a while (`core/reuse_policy.py`).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections import Counter, deque
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, field
+from enum import Enum
+
+import anyio
+from loguru import logger
+
+from ..clock import Clock
+from ..config import Address
+from ..core.descriptor_budget import DescriptorBudget, DescriptorUse
+from ..core.protocols import Confirmation
+from ..core.reuse_policy import ReusePolicy
+from .http import ClientConnection
+
+_IDLE_TIMEOUT_SHARE = 0.9  # of the endpoints' idle timeout: the relay closes an idle connection before they do
+# If one response was left over, each later call on the connection got the response before its own. So where this many
+# later responses end their messages too, a message has ended whichever of them was its own.
+_MAX_PROVISIONAL = 2
+_MAX_SILENCE_S = 2.0  # that confirms a response, unless its endpoint is suspect
+_MIN_IDLE_TIMEOUT_S = 1.0  # an endpoint that closes an idle connection sooner may have dropped its call
+_CHECK_INTERVAL_S = 0.1
+
+PoolKey = tuple[int, Address]
+
+
+class CloseReason(Enum):
+    """Why a connection was closed; the values appear in the log."""
+
+    NOT_REUSABLE = "its response was incomplete or announced the close"
+    CALL_FAILED = "its call failed, was refused, or was given up"
+    SURPLUS = "bytes that answer no call"
+    ENDED = "ended by the endpoint"
+    RETIRED = "idle for too long, or no longer to be used"
+    DESCRIPTORS = "its descriptor is needed"
+
+
+@dataclass(eq=False, slots=True)
+class PooledConnection:
+    """A connection with the state of its earlier calls. `idle_since` in milliseconds of the relay's clock; the other
+    times in the loop's seconds. `silent_from`: when silence since the last response confirms it."""
+
+    http: ClientConnection
+    key: PoolKey
+    used: bool = False  # it has carried a call before the current one
+    idle_since: float = 0.0
+    answered_at: float = 0.0
+    silent_from: float = 0.0
+    provisional: deque[Confirmation] = field(default_factory=deque)
+
+    def add_provisional(self, confirmation: Confirmation, now: float, suspect: bool) -> None:
+        """The last response ends its message. Confirms the one that is `_MAX_PROVISIONAL` responses older."""
+        self.answered_at = now
+        if not suspect:
+            self.silent_from = min(self.silent_from, now + _MAX_SILENCE_S)
+        self.provisional.append(confirmation)
+        if len(self.provisional) > _MAX_PROVISIONAL:
+            self.provisional.popleft().resolve(True)
+
+    def take_provisional(self) -> deque[Confirmation]:
+        taken, self.provisional = self.provisional, deque()
+        return taken
+
+
+class ConnectionPool:
+    """The connections that carry no call now. Each holds a descriptor from its opening to its close."""
+
+    def __init__(self, clock: Clock, idle_ms: float, descriptors: DescriptorBudget) -> None:
+        self._clock, self._descriptors = clock, descriptors
+        self._idle_ms = idle_ms * _IDLE_TIMEOUT_SHARE or math.inf
+        # The key holds the address too: after a move an endpoint is not called at its old address, and another endpoint
+        # that takes over the address does not receive its calls.
+        self.idle: dict[PoolKey, deque[PooledConnection]] = {}
+        self._retired: dict[PooledConnection, None] = {}
+        self._policy = ReusePolicy()
+        self.on_surplus: Callable[[int, bytes], None] = lambda _endpoint, _data: None
+        self.closed: Counter[CloseReason] = Counter()
+
+    def is_suspect(self, endpoint: int) -> bool:
+        """Whether the endpoint has sent bytes that answer no call, lately."""
+        return self._policy.is_suspect(endpoint, anyio.current_time())
+
+    def take(self, key: PoolKey) -> PooledConnection | None:
+        """The most recently used connection: the others may then reach their idle time."""
+        now = anyio.current_time()
+        if not self._policy.may_reuse(key[0], now):
+            self.retire(key[0])
+            return None
+        self._close_old(self.idle.get(key, ()))
+        idle = self.idle.get(key)
+        connection = idle[-1] if idle else None
+        return connection if connection and self._remove(connection) else None
+
+    def give_back(self, connection: PooledConnection) -> None:
+        """Keep a connection for further calls."""
+        now = anyio.current_time()
+        if connection.http.announced_close:
+            self.retire_returned(connection)
+        elif not connection.http.reusable:
+            self._close_unreusable(connection)
+        elif not self._policy.may_reuse(connection.key[0], now):
+            self.retire_returned(connection)
+        else:
+            connection.idle_since = self._clock.now()
+            self.idle.setdefault(connection.key, deque()).append(connection)
+            self._watch(connection)
+
+    def retire_returned(self, connection: PooledConnection) -> None:
+        """Take a connection back, but for no further call: it stays open while responses on it are provisional."""
+        if not connection.provisional:
+            self.close(connection, CloseReason.RETIRED)
+        elif not (connection.http.reusable or connection.http.announced_close):
+            self._close_unreusable(connection)
+        else:
+            self._retired[connection] = None
+            self._watch(connection)
+
+    def _close_unreusable(self, connection: PooledConnection) -> None:
+        surplus = connection.http.surplus()
+        if surplus:
+            self._surplus_received(connection, surplus)
+        self.close(connection, CloseReason.SURPLUS if surplus else CloseReason.NOT_REUSABLE)
+
+    def close(self, connection: PooledConnection, reason: CloseReason, confirmed: bool = False) -> None:
+        """Close a connection that is in no pool. `confirmed`: what its provisional responses are now."""
+        connection.http.close()
+        self._descriptors.release(DescriptorUse.CALLS)
+        self.closed[reason] += 1
+        for confirmation in connection.take_provisional():
+            confirmation.resolve(confirmed)
+
+    def close_after_call(self, connection: PooledConnection) -> None:
+        """Close a connection whose call is not to be waited for, or whose response may be another call's."""
+        if surplus := connection.http.surplus():
+            self._surplus_received(connection, surplus)
+            self.close(connection, CloseReason.SURPLUS)
+        else:
+            self.close(connection, CloseReason.CALL_FAILED)
+
+    # Idle connections
+
+    def _watch(self, connection: PooledConnection) -> None:
+        asyncio.get_running_loop().add_reader(connection.http.fileno(), self._check_idle, connection)
+
+    def _check_idle(self, connection: PooledConnection) -> bool:
+        """Whether an idle connection is open with nothing to read; otherwise it is closed."""
+        try:
+            data = connection.http.read_idle()
+            broken = False
+        except OSError:
+            data, broken = b"", True
+        if data is None:
+            return True
+        if not self._remove(connection):
+            return False
+        if data:
+            self._surplus_received(connection, data)
+            self.close(connection, CloseReason.SURPLUS)
+        else:
+            self.close(connection, CloseReason.ENDED, not broken and self._had_nothing_to_send(connection))
+        return False
+
+    def _had_nothing_to_send(self, connection: PooledConnection) -> bool:
+        """Whether an endpoint that ended a connection had answered all calls on it."""
+        now = anyio.current_time()
+        was_idle = now >= connection.answered_at + _MIN_IDLE_TIMEOUT_S
+        return connection.http.announced_close or was_idle and not self._policy.is_suspect(connection.key[0], now)
+
+    def _surplus_received(self, connection: PooledConnection, data: bytes) -> None:
+        endpoint, now = connection.key[0], anyio.current_time()
+        if self._policy.may_reuse(endpoint, now):
+            logger.bind(event="connection.surplus", endpoint=endpoint, size=len(data)).warning(
+                "{} sent {} bytes that answer no call; {} provisional deliveries on the connection are reported as "
+                "failed. For a while its connections are used once each. Closed so far: {}",
+                connection.key[1],
+                len(data),
+                len(connection.provisional),
+                ", ".join(f"{count} {reason.value}" for reason, count in self.closed.items()) or "none",
+            )
+        self._policy.surplus_received(endpoint, now)
+        self.on_surplus(endpoint, data)
+
+    def _remove(self, connection: PooledConnection) -> bool:
+        """Take a connection out of the pool; False if an earlier step has done so."""
+        idle = self.idle.get(connection.key, deque())
+        if connection in self._retired:
+            del self._retired[connection]
+        elif connection in idle:
+            idle.remove(connection)
+            if not idle:
+                del self.idle[connection.key]
+        else:
+            return False
+        asyncio.get_running_loop().remove_reader(connection.http.fileno())
+        return True
+
+    def _remove_and_close(self, connection: PooledConnection, reason: CloseReason) -> None:
+        if self._remove(connection):
+            self.close(connection, reason)
+
+    def _is_old(self, connection: PooledConnection) -> bool:
+        return connection.idle_since <= self._clock.now() - self._idle_ms
+
+    def _all_idle(self) -> Iterator[PooledConnection]:
+        return (connection for idle in list(self.idle.values()) for connection in list(idle))
+
+    def retire(self, endpoint: int) -> None:
+        """Use the idle connections of an endpoint no more."""
+        for connection in [connection for connection in self._all_idle() if connection.key[0] == endpoint]:
+            if self._remove(connection):
+                self.retire_returned(connection)
+
+    def close_idle_since(self, key: PoolKey, since: float) -> None:
+        """Close those that were idle at least as long as one that was found broken: the next call could fail too."""
+        for connection in [found for found in self.idle.get(key, ()) if found.idle_since <= since]:
+            self._remove_and_close(connection, CloseReason.ENDED)
+
+    def close_longest_idle(self) -> bool:
+        """Free a descriptor; False if every connection carries a call."""
+        candidates = list(self._retired) or [idle[0] for idle in self.idle.values()]
+        if not candidates:
+            return False
+        connection = min(candidates, key=lambda candidate: candidate.idle_since)
+        self._remove_and_close(connection, CloseReason.DESCRIPTORS)
+        return True
+
+    def close_old(self) -> None:
+        """Close connections before the endpoints' idle timeout: a request sent while the endpoint closes is lost."""
+        self._close_old(self._all_idle())
+
+    def _close_old(self, connections: Iterable[PooledConnection]) -> None:
+        for connection in [found for found in connections if self._is_old(found)]:
+            if self._remove(connection):
+                self.retire_returned(connection)
+
+    def confirm_silent(self) -> None:
+        """Confirm the provisional responses on connections that have been silent since their last call's time."""
+        now = anyio.current_time()
+        for connection in [*self._all_idle(), *self._retired]:
+            if not connection.provisional or now < connection.silent_from:
+                continue
+            if not self._check_idle(connection):
+                continue
+            for confirmation in connection.take_provisional():
+                confirmation.resolve(True)
+            if connection in self._retired:
+                self._remove_and_close(connection, CloseReason.RETIRED)
+
+    async def run(self) -> None:
+        while True:
+            await anyio.sleep(_CHECK_INTERVAL_S)
+            self.confirm_silent()
+            self.close_old()
+            self._policy.forget_old(anyio.current_time())
--- a/calicohitch/net/endpoints.py
+++ b/calicohitch/net/endpoints.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import math
-from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 import anyio
@@ -12,16 +12,19 @@
 from ..clock import Clock
 from ..config import Address
 from ..core.descriptor_budget import DescriptorUse, DescriptorBudget
-from ..core.protocols import Call, Result
+from ..core.protocols import Call, Confirmation, Result
 from ..core.system_errors import OUT_OF_DESCRIPTORS, RETRY_PAUSE_S, Step, of_this_machine
 from ..interface import Outcome
-from .http import ClientConnection, Headers, Response
+from . import answer
+from .connection_pool import CloseReason, ConnectionPool, PooledConnection, PoolKey
+from .head import Look
+from .http import MAX_BODY, ClientConnection, Headers, Response
 
 if TYPE_CHECKING:
     from ..tracing.facts import AttemptFacts
 
-_IDLE_TIMEOUT_SHARE = 0.9  # of the endpoints' idle timeout: the relay closes an idle connection before they do
 _MAX_RETRY_AFTER_MS = 3_600_000.0
+_REFUSAL_SILENCE_S = 0.5  # after the refusal of a message that may not be repeated, until it counts as certain
 _DESCRIPTOR_POLL_S = 0.02  # interval between checks for a free descriptor
 
 
@@ -85,10 +88,25 @@
     """No descriptor is free or this machine cannot connect; this does not count as a failure of the endpoint."""
 
 
-class _ConnectAttempt:
-    """The state of opening a new connection. `failed_locally`: the last try failed because of this machine."""
+@dataclass(slots=True)
+class _Exchange:
+    """One call in progress. `failed_locally`: the last try to connect failed because of this machine."""
 
-    failed_locally = False
+    call: Call
+    key: PoolKey
+    started: float  # in the loop's seconds
+    connection: PooledConnection | None = None
+    response: Response | None = None
+    failed_locally: bool = False
+    request_started: bool = False
+    not_wanted: bool = False
+    certain: bool = False  # the response is the call's own, and the call is over
+    error: OSError | LocalConnectError | None = None
+
+    @property
+    def deadline(self) -> float:
+        """In the loop's seconds."""
+        return self.started + self.call.timeout / 1e3
 
 
 class Endpoints:
@@ -98,12 +116,11 @@
         self, clock: Clock, fields: tuple[str, ...], idle_ms: float, connect_ms: float, descriptors: DescriptorBudget
     ) -> None:
         self._clock, self._fields, self._connect_s, self._descriptors = clock, fields, connect_ms / 1e3, descriptors
-        self._idle_ms = idle_ms * _IDLE_TIMEOUT_SHARE or math.inf
-        # The key holds the address too: after a move an endpoint is not called at its old address, and another endpoint
-        # that takes over the address does not receive its calls.
-        self._idle: dict[tuple[int, Address], deque[ClientConnection]] = {}
+        self._pool = ConnectionPool(clock, idle_ms, descriptors)
         self._close_requests: dict[int, int] = {}  # endpoint with calls in flight -> `close_idle` calls since
         self._calls_in_flight: dict[int, int] = {}  # endpoint -> number
+        self._pool.on_surplus = self._surplus_received
+        self.on_wait: Callable[[int, float], None] = lambda _endpoint, _wait_ms: None
 
     async def call(
         self,
@@ -116,162 +133,199 @@
         """One attempt. The connection is kept only if it was answered in time or unused; nothing is ever resent here.
         Opening a connection takes time and the process may be paused: `wanted` is checked before the request is sent
         and says whether the decision to call still holds."""
-        pool = (endpoint, address)
-        connection: ClientConnection | None = None
-        response: Response | None = None
-        connect_attempt = _ConnectAttempt()
-        not_wanted = request_started = stale = late = False
+        exchange = _Exchange(call, (endpoint, address), anyio.current_time())
         self._calls_in_flight[endpoint] = self._calls_in_flight.get(endpoint, 0) + 1
         close_requests_before = self._close_requests.get(endpoint, 0)
-        deadline = anyio.current_time() + call.timeout / 1e3
-        timer = anyio.CancelScope(deadline=deadline)
         try:
-            with scope, timer:
-                connection = self._take_idle(pool)
-                stale = connection is not None
-                if connection is None:
-                    connection = await self._connect(address, connect_attempt)
-                if not wanted():
-                    not_wanted, stale = True, False
-                    return Result(Outcome.MOOT)
-                if call.marks:
-                    track_progress(call.marks, connection, stale, self._clock)
-                request_started = True  # from here on the state of a reused connection is that of this call
-                remaining_ms = (deadline - anyio.current_time()) * 1e3  # opening the connection may have taken long
-                response = await connection.request(
-                    "POST", "/v1/messages", request_headers(call, address, remaining_ms), call.body
-                )
-        except OSError:
-            if connection is not None and not request_started:  # raised by `wanted`: not a failure of the endpoint
-                return Result(Outcome.MOOT)
-            never_sent = connection is None or not connection.sent
-            stale = stale and connection is not None and not connection.answered
-            if stale and connection is not None:
-                self._close_idle_since(pool, connection.idle_since)
-            return Result(Outcome.CONNECT_FAILED if never_sent else Outcome.RESET, stale=stale)
-        except LocalConnectError:
-            return Result(Outcome.MOOT)
+            with scope, anyio.CancelScope(deadline=exchange.deadline):
+                await self._run(exchange, wanted)
+            still_wanted = self._close_requests.get(endpoint, 0) == close_requests_before
+        except BaseException:
+            if exchange.connection is not None:
+                self._pool.close(exchange.connection, CloseReason.CALL_FAILED)
+            raise
         finally:
-            if connection is not None:
-                connection.progress = None
-                still_wanted = self._close_requests.get(endpoint, 0) == close_requests_before
-                ended_well = still_wanted and (not_wanted or response is not None)
-                if request_started and response is None and connection.sent:
-                    # The response may have arrived in the loop turn in which the time ran out. Its retry-after counts
-                    # from when it was written.
-                    response = connection.poll_response()
-                late = connection.answered_at >= deadline
-                self._return_connection(pool, connection, ended_well)
             self._calls_in_flight[endpoint] -= 1
             if not self._calls_in_flight[endpoint]:
                 del self._calls_in_flight[endpoint]
                 self._close_requests.pop(endpoint, None)
-        if response is not None:
+        if exchange.connection is None:
+            return self._not_connected(exchange, scope)
+        exchange.connection.http.progress = None
+        return self._settle(exchange, exchange.connection, scope, still_wanted)
+
+    async def _run(self, exchange: _Exchange, wanted: Callable[[], bool]) -> None:
+        """Send the request and receive the response; an error is stored in `exchange`."""
+        call, (_, address) = exchange.call, exchange.key
+        try:
+            needs_own = call.runs_once and self._pool.is_suspect(exchange.key[0])
+            connection = None if needs_own else self._pool.take(exchange.key)
+            if connection is None:
+                connection = PooledConnection(await self._connect(address, exchange), exchange.key)
+            exchange.connection = connection
+            if not wanted():
+                exchange.not_wanted = True
+                return
             if call.marks:
-                call.marks.status = response.status
-            result = call_result(response, self._fields)
-            # A response that is read in the loop turn in which the time ran out may have been written before or after
-            # that. It does not end the message: the call counts as timed out and may have run.
-            return Result(Outcome.TIMEOUT, report=result.report) if late and result.ended else result
+                track_progress(call.marks, connection.http, connection.used, self._clock)
+            exchange.request_started = True
+            connection.silent_from = exchange.deadline
+            remaining_ms = (
+                exchange.deadline - anyio.current_time()
+            ) * 1e3  # opening the connection may have taken long
+            headers = request_headers(call, address, remaining_ms)
+            exchange.response = await connection.http.request("POST", "/v1/messages", headers, call.body)
+            if call.runs_once:
+                await self._await_surplus(exchange, connection, exchange.response)
+        except (OSError, LocalConnectError) as error:
+            exchange.error = error
+
+    async def _await_surplus(self, exchange: _Exchange, connection: PooledConnection, response: Response) -> None:
+        """A message that may not be repeated is sent again only if its refusal is certain: nothing may follow it."""
+        result = call_result(response, self._fields)
+        if result.ended or not result.outcome.never_ran:
+            return
+        if result.wait:
+            self.on_wait(exchange.key[0], result.wait)
+        if connection.http.answered_early or not connection.http.reusable:
+            return
+        with anyio.move_on_after(_REFUSAL_SILENCE_S) as silence:
+            await connection.http.wait_for_more()
+        exchange.certain = silence.cancelled_caught
+
+    def _not_connected(self, exchange: _Exchange, scope: anyio.CancelScope) -> Result:
+        """The result of a call that got no connection."""
+        if isinstance(exchange.error, LocalConnectError):
+            return Result(Outcome.MOOT)
+        if exchange.error is not None:
+            return Result(Outcome.CONNECT_FAILED)
         if scope.cancelled_caught:
             return Result(Outcome.CANCELLED)
-        if connection is None and (connect_attempt.failed_locally or self._is_full()):
+        if exchange.failed_locally or self._is_full():
+            return Result(Outcome.MOOT)
+        self._pool.retire(exchange.key[0])
+        return Result(Outcome.CONNECT_FAILED)
+
+    def _settle(
+        self, exchange: _Exchange, connection: PooledConnection, scope: anyio.CancelScope, still_wanted: bool
+    ) -> Result:
+        """The result of a call that got a connection, and what becomes of the connection."""
+        if exchange.not_wanted:
+            self._keep(connection, still_wanted)
             return Result(Outcome.MOOT)
+        if not exchange.request_started:  # `wanted` failed, or the time was over: not a failure of the endpoint
+            self._pool.close(connection, CloseReason.CALL_FAILED)
+            if exchange.error is not None:
+                return Result(Outcome.MOOT)
+        elif exchange.error is not None:
+            return self._broken(connection)
+        elif exchange.response is not None:
+            return self._answered(exchange, connection, exchange.response, still_wanted)
+        elif connection.http.sent and (response := connection.http.poll_response()):
+            # The response may have arrived in the loop turn in which the time ran out. Its retry-after counts from
+            # when it was written.
+            return self._answered(exchange, connection, response, False)
+        else:
+            self._pool.close_after_call(connection)
+        if scope.cancelled_caught:
+            return Result(Outcome.CANCELLED)
         # Protects against an endpoint that lost its network: its connections stay open without an answer, and once it
         # is back calls on them end as resets, which may have run. If it was only slow, this costs new handshakes.
-        self._close_all_idle(endpoint)
-        sent = connection is not None and connection.sent
-        return Result(Outcome.TIMEOUT if sent else Outcome.CONNECT_FAILED)
+        self._pool.retire(exchange.key[0])
+        return Result(Outcome.TIMEOUT if connection.http.sent else Outcome.CONNECT_FAILED)
+
+    def _broken(self, connection: PooledConnection) -> Result:
+        """The connection failed during the call, or its response was invalid."""
+        stale = connection.used and not connection.http.answered
+        if stale:
+            self._pool.close_idle_since(connection.key, connection.idle_since)
+        self._pool.close_after_call(connection)
+        return Result(Outcome.RESET if connection.http.sent else Outcome.CONNECT_FAILED, stale=stale)
+
+    def _answered(
+        self, exchange: _Exchange, connection: PooledConnection, response: Response, still_wanted: bool
+    ) -> Result:
+        call, complete = exchange.call, response is exchange.response
+        if call.marks:
+            call.marks.status = response.status
+        result = call_result(response, self._fields)
+        if connection.http.answered_at >= exchange.deadline and result.ended:
+            # A response that is read in the loop turn in which the time ran out may have been written before or after
+            # that. It does not end the message: the call counts as timed out and may have run.
+            result = Result(Outcome.TIMEOUT, report=result.report)
+        connection.used = True
+        if exchange.certain:
+            self._keep(connection, still_wanted)
+            return result
+        if not result.ended:
+            # The call may still be running on the connection, so the next attempt waits for its close.
+            self._pool.close_after_call(connection)
+            return replace(result, indeterminate=True)
+        confirmation = Confirmation()
+        connection.add_provisional(confirmation, anyio.current_time(), self._pool.is_suspect(exchange.key[0]))
+        if complete:
+            self._keep(connection, still_wanted)
+        else:
+            self._pool.close_after_call(connection)
+        return replace(result, confirmation=confirmation)
 
-    async def _connect(self, address: Address, connect_attempt: _ConnectAttempt) -> ClientConnection:
+    def _keep(self, connection: PooledConnection, still_wanted: bool) -> None:
+        if still_wanted:
+            self._pool.give_back(connection)
+        else:
+            self._pool.retire_returned(connection)
+
+    def _surplus_received(self, endpoint: int, data: bytes) -> None:
+        """Bytes that answer no call may still be a refusal, whose retry-after counts from when it was written."""
+        parsed = answer.read(data, MAX_BODY)
+        if not isinstance(parsed, Look):
+            result = call_result(Response(*parsed), self._fields)
+            if result.wait:
+                self.on_wait(endpoint, result.wait)
+
+    async def _connect(self, address: Address, exchange: _Exchange) -> ClientConnection:
         """A new connection once a descriptor is free and this machine can open it; LocalConnectError if not in time."""
         deadline = anyio.current_time() + self._connect_s
-        while self._is_full() and not self._close_longest_idle():
+        while self._is_full() and not self._pool.close_longest_idle():
             if anyio.current_time() > deadline:
                 raise LocalConnectError
             await anyio.sleep(_DESCRIPTOR_POLL_S)
         self._descriptors.acquire(DescriptorUse.CALLS)
         try:
-            return await self._open(address, connect_attempt)
+            return await self._open(address, exchange)
         except BaseException:
             self._descriptors.release(DescriptorUse.CALLS)
             raise
 
-    async def _open(self, address: Address, connect_attempt: _ConnectAttempt) -> ClientConnection:
+    async def _open(self, address: Address, exchange: _Exchange) -> ClientConnection:
         """Retry while this machine is at fault, so that it counts neither against the endpoint nor as an attempt."""
         deadline = anyio.current_time() + self._connect_s
         while True:
             try:
-                connect_attempt.failed_locally = False
+                exchange.failed_locally = False
                 with anyio.fail_after(deadline - anyio.current_time()):
                     return await ClientConnection.open(address)
             except OSError as error:
                 if not of_this_machine(error, Step.CONNECTED):
                     raise
-                connect_attempt.failed_locally = True
+                exchange.failed_locally = True
                 if anyio.current_time() >= deadline:
                     raise LocalConnectError from error
                 if error.errno in OUT_OF_DESCRIPTORS:
-                    self._close_longest_idle()
+                    self._pool.close_longest_idle()
                 await anyio.sleep(RETRY_PAUSE_S)
 
     def _is_full(self) -> bool:
         return not self._descriptors.free_for(DescriptorUse.CALLS)
 
-    def _take_idle(self, pool: tuple[int, Address]) -> ClientConnection | None:
-        """The most recently used idle connection that is still usable: the others may then reach their idle time."""
-        idle = self._idle.get(pool, deque())
-        while idle:
-            connection = idle.pop()
-            if connection.reusable and connection.idle_since > self._clock.now() - self._idle_ms:
-                return connection
-            self._close(connection)
-        return None
-
-    def _return_connection(self, pool: tuple[int, Address], connection: ClientConnection, ended_well: bool) -> None:
-        if ended_well and connection.reusable:
-            connection.idle_since = self._clock.now()
-            self._idle.setdefault(pool, deque()).append(connection)
-        else:
-            self._close(connection)
-
-    def _close(self, connection: ClientConnection) -> None:
-        connection.close()
-        self._descriptors.release(DescriptorUse.CALLS)
-
-    def _close_longest_idle(self) -> bool:
-        pools = [idle for idle in self._idle.values() if idle]
-        if pools:
-            self._close(min(pools, key=lambda idle: idle[0].idle_since).popleft())
-        return bool(pools)
-
     def close_idle(self, endpoint: int) -> None:
         """Close the connections that are idle now, and those of calls in flight when the calls end."""
         if endpoint in self._calls_in_flight:
             self._close_requests[endpoint] = self._close_requests.get(endpoint, 0) + 1
-        self._close_all_idle(endpoint)
-
-    def _close_all_idle(self, endpoint: int) -> None:
-        for pool in [pool for pool in self._idle if pool[0] == endpoint]:
-            for connection in self._idle.pop(pool):
-                self._close(connection)
-
-    def _close_idle_since(self, pool: tuple[int, Address], since: float) -> None:
-        """Close those that were idle at least as long as one that was found broken: the next call could fail too."""
-        idle = self._idle.get(pool, deque())
-        while idle and idle[0].idle_since <= since:
-            self._close(idle.popleft())
+        self._pool.retire(endpoint)
 
     def close_old(self) -> None:
-        """Close connections before the endpoints' idle timeout: a request sent while the endpoint closes is lost."""
-        before = self._clock.now() - self._idle_ms
-        for pool, idle in list(self._idle.items()):
-            while idle and (idle[0].idle_since <= before or not idle[0].reusable):
-                self._close(idle.popleft())
-            if not idle:
-                del self._idle[pool]
+        self._pool.close_old()
 
     async def run(self) -> None:
-        while True:
-            await anyio.sleep(0.25)
-            self.close_old()
+        await self._pool.run()
--- a/calicohitch/net/http.py
+++ b/calicohitch/net/http.py
@@ -172,9 +172,12 @@
 
     async def receive(self) -> bytes:
         while (data := receive_at_once(self._sock)) is None:
-            await self._wait_readable()
+            await self.wait_readable()
         return data
 
+    def fileno(self) -> int:
+        return self._sock.fileno()
+
     def receive_some(self) -> bytes:
         """The bytes that can be read without blocking; empty if there are none, also after an error."""
         try:
@@ -212,7 +215,7 @@
         else:
             await self._wait_until_ready(anyio.wait_writable)
 
-    async def _wait_readable(self) -> None:
+    async def wait_readable(self) -> None:
         await self._wait_until_ready(anyio.wait_readable)
 
     async def _wait_until_ready(self, wait: Callable[[socket.socket], Awaitable[None]]) -> None:
@@ -231,6 +234,10 @@
     def has_ended(self) -> bool:
         return has_ended(self._sock)
 
+    def receive_at_once(self) -> bytes | None:
+        """See `receive_at_once`."""
+        return receive_at_once(self._sock)
+
     def shut_down(self) -> None:
         """End every wait on the connection, in any task; `close` still has to be called."""
         with suppress(OSError):
@@ -302,6 +309,17 @@
             and (http.our_state is h11.DONE and http.their_state is h11.DONE)
         )
 
+    @property
+    def announced_close(self) -> bool:
+        http = self._http
+        return http is not None and http.their_state in (h11.MUST_CLOSE, h11.CLOSED) and not http.trailing_data[0]
+
+    @property
+    def trailing(self) -> bytes:
+        """Data that was read with the complete response and follows it."""
+        http = self._http
+        return bytes(http.trailing_data[0]) if http is not None and http.their_state is not h11.SEND_BODY else b""
+
     @staticmethod
     def _client_after_request() -> h11.Connection:
         """An h11 connection after a request; which request it was does not change how the response is parsed."""
@@ -317,9 +335,11 @@
     def __init__(self, link: Link, max_body: int = MAX_BODY, needs_body: bool = False) -> None:
         self._link, self._max_body, self._needs_body = link, max_body, needs_body
         self._clean = True  # between requests, with no unread data of the last response
+        self._complete = True  # between requests
+        # Data of the current response was there as soon as the request was sent, so it may answer nothing.
+        self.answered_early = False
         self._reader = ResponseReader(max_body)  # of the current response
         self.sent = False  # whether the kernel has taken the last byte of the current request
-        self.idle_since = 0.0
         self.progress: Callable[[bool], None] | None = None  # called with False once all is sent, with True on data
 
     @classmethod
@@ -331,6 +351,27 @@
         """No data follows the last response: a second copy of it would be taken for the next response."""
         return self._clean and self._link.is_quiet()
 
+    def read_idle(self) -> bytes | None:
+        """What has come between requests: None if nothing, empty if the server has ended its sending. OSError if the
+        connection is broken."""
+        return self._link.receive_at_once()
+
+    @property
+    def announced_close(self) -> bool:
+        """The last response was complete, nothing follows it so far, and it said that the server will close."""
+        return self._complete and self._reader.announced_close
+
+    def fileno(self) -> int:
+        return self._link.fileno()
+
+    async def wait_for_more(self) -> None:
+        """Wait until more data, or the end of the connection, can be read."""
+        await self._link.wait_readable()
+
+    def surplus(self) -> bytes:
+        """Data that belongs to no request: what follows the last response, read with it or unread."""
+        return self._reader.trailing + self._link.receive_some() if self._complete else b""
+
     @property
     def says_200(self) -> bool:
         """The status line of the current response is complete and 200, whether or not the remainder arrives."""
@@ -361,7 +402,8 @@
     async def request(self, method: str, target: str, headers: Headers, body: bytes = b"") -> Response:
         """Send a request and return the response; OSError if there is none or it is invalid. A status line of 200 is
         enough, unless the connection was made with `needs_body`."""
-        self.sent, self._clean, self._reader = False, False, ResponseReader(self._max_body)
+        self.sent = self._clean = self.answered_early = False
+        self._reader = ResponseReader(self._max_body)
         if body or method == "POST":
             headers = [*headers, (b"Content-Length", b"%d" % len(body))]
         lines = [b"%s: %s\r\n" % header for header in headers]
@@ -369,7 +411,7 @@
             raise ValueError("a header contains NUL, CR or LF")
         head = b"%s %s HTTP/1.1\r\n%s\r\n" % (method.encode(), target.encode(), b"".join(lines))
         await self._send(head + body)
-        self.sent = True
+        self.sent, self._complete = True, False
         if self.progress:
             self.progress(False)
         try:
@@ -392,10 +434,10 @@
 
     async def _response(self) -> Response:
         """The response: parsed at once if it arrives complete and in the common form, else by h11."""
-        data = await self._receive()
+        data = await self._receive_first()
         parsed = answer.read(data, self._max_body) if data else Look.UNCOMMON
         if not isinstance(parsed, Look):
-            self._clean = True
+            self._clean = self._complete = True
             return Response(*parsed)
         with anyio.CancelScope() as remainder_scope:  # limits the time of the remainder once the response starts
             while (response := self._reader.parse(data)) is None:
@@ -403,12 +445,20 @@
                 if remainder_scope.deadline == math.inf and started and not self._needs_body:
                     remainder_scope.deadline = anyio.current_time() + _RESPONSE_END_TIMEOUT_S
                 data = await self._receive()
-            self._clean = self._reader.clean
+            self._clean, self._complete = self._reader.clean, True
             return response
         raise ConnectionResetError("the response was not completed in time")
 
+    async def _receive_first(self) -> bytes:
+        if not (data := self._link.receive_some()):
+            return await self._receive()
+        self.answered_early = True
+        return self._received(data)
+
     async def _receive(self) -> bytes:
-        data = await self._link.receive()
+        return self._received(await self._link.receive())
+
+    def _received(self, data: bytes) -> bytes:
         if self.progress:
             self.progress(True)
         self._reader.receive(data, anyio.current_time())
--- a/calicohitch/net/relay.py
+++ b/calicohitch/net/relay.py
@@ -38,6 +38,7 @@
 from .notices import Notice, Notices
 from .peers import Peers
 from .pending_ends import PendingEnds
+from .provisional_deliveries import ProvisionalDeliveries
 
 if TYPE_CHECKING:
     from ..tracing.facts import AttemptFacts
@@ -49,6 +50,7 @@
 _OVERDUE_GRACE_MS = 50.0
 _DISK_RETRY_INTERVAL_S = 0.02
 _STATE_CHECK_INTERVAL_S = 0.25
+_CONFIRMATION_POLL_S = 0.02
 _UNREAD_LOG_FACTOR = 10  # unreadable peer messages are logged again once their count has grown by this factor
 # After this wait for the coordination store, a starting relay serves the messages that need no replication.
 _REPLICATION_START_TIMEOUT_S = 5.0
@@ -132,6 +134,7 @@
         self._disk_refused = ChangeNotifier()
         journal.on_refused = self._disk_refused.notify
         self._pending_ends = PendingEnds(journal, clock.now, self._send_notice)
+        self._provisional = ProvisionalDeliveries(self._record_end, self._record_closed, self._report_refuted)
         self._notices = Notices(config.discovery, self._record_closed, self.descriptors, self._may_end)
         self._endpoints = Endpoints(
             clock,
@@ -140,6 +143,7 @@
             to_ms(settings.connect_timeout),
             self.descriptors,
         )
+        self._endpoints.on_wait = self._endpoint_told_wait
         self._deliveries: dict[int, Delivery] = {0: self._endpoints}
         self.invariants = Invariants()
         self._call_history = CallHistory(settings.open_cap * 4)
@@ -193,9 +197,23 @@
     @property
     def idle(self) -> bool:
         """No message is open and no end or notice is pending."""
-        ending = len(self._pending_ends) or len(self._notices) or self._replicator and self._replicator.ends_waiting
+        ending = (
+            len(self._pending_ends)
+            or len(self._notices)
+            or len(self._provisional)
+            or self._replicator
+            and self._replicator.ends_waiting
+        )
         return not self._open and not ending
 
+    async def confirm_deliveries(self, timeout_s: float) -> None:
+        """Wait until no delivery is provisional any more; after the time limit those that are count as failed, and
+        their notices are sent."""
+        with anyio.move_on_after(timeout_s):
+            while len(self._provisional):
+                await anyio.sleep(_CONFIRMATION_POLL_S)
+        self._provisional.end_overdue(math.inf)
+
     def submit(self, submission: Submission) -> int | Refusal:
         """Write a message to the journal; returns its number. `accept` must follow once the client has the response, or
         `withdraw` if it did not get one."""
@@ -331,8 +349,7 @@
         judged by these attempts; a call that certainly never ran is forgotten at once."""
         window_ms = 0.0
         if entry.class_name in self._config.names.classes:
-            cls = self._config.settings.classes[self._config.names.classes.index(entry.class_name)]
-            window_ms = to_ms(max(cls.window, 0))
+            window_ms = to_ms(max(self._class_of(entry).window, 0))
         if self._tracer:
             self._tracer.closed(entry.number)
         for number in self._call_history.remember(entry, window_ms, self._clock.now()):
@@ -511,7 +528,7 @@
         if number in message.recorded:
             return True
         entry, attempt = message.entry, message.entry.attempts[number]
-        cls = self._config.settings.classes[self._config.names.classes.index(entry.class_name)]
+        cls = self._class_of(entry)
         if not self.invariants.may_send(entry.id, cls, entry.attempts[: number + 1], self._clock.now()):
             return False
         try:
@@ -554,6 +571,7 @@
             trace_headers,
             facts,
             submission.content if submission else None,
+            self._class_of(entry).effect is i.Effect.UNSAFE,
         )
         delivery = self._deliveries.get(submission.protocol if submission else 0, self._endpoints)
         try:
@@ -569,13 +587,34 @@
             logger.exception("a call failed with an unexpected error")
             result = Result(i.Outcome.RESET if attempt in message.recorded else i.Outcome.MOOT)
         if result.wait and member:
-            now = self._clock.now()
-            self._waits = {route: until for route, until in self._waits.items() if until > now}
-            self._waits[self._route(member.listed)] = now + result.wait
-            if self._replicator:
-                self._replicator.record_wait(self._route(member.listed), now + result.wait)
+            self._record_wait(self._route(member.listed), result.wait)
         self._settled(message, attempt, action.endpoint, result)
 
+    def _record_wait(self, route: int, wait_ms: float) -> float:
+        """Keep a retry-after; returns when it ends, in milliseconds."""
+        now = self._clock.now()
+        self._waits = {route: until for route, until in self._waits.items() if until > now}
+        until = self._waits[route] = max(self._waits.get(route, 0.0), now + wait_ms)
+        if self._replicator:
+            self._replicator.record_wait(route, until)
+        return until
+
+    def _endpoint_told_wait(self, endpoint: int, wait_ms: float) -> None:
+        """A retry-after that came with no call to belong to: it is kept all the same."""
+        if member := self._directory.get(endpoint):
+            route = self._route(member.listed)
+            until = self._record_wait(route, wait_ms)
+            self._apply_waits({route: until})
+
+    def _apply_waits(self, waits: Mapping[int, float]) -> None:
+        """Tell the engine of retry-after times by route, in milliseconds."""
+        routes = []
+        for route, until in waits.items():
+            dest, endpoint = (route, None) if route >= 0 else (self._dest_of(~route), ~route)
+            routes.append(i.RestoredRoute(dest, endpoint, wait_until=to_micros(until), wait_only=True))
+        if routes:
+            self.feed(i.RestoredState(tuple(routes)))
+
     async def _wait_for_disk(self, message: _OpenMessage, attempt: int, action: i.Send) -> None:
         """Wait while the disk refuses records, up to the time limit of the attempt, so that a short disk failure does
         not use up the attempts of a message. The attempt's start time is set after the wait, so that the wait does
@@ -622,15 +661,17 @@
             self._forget(number)
             if message.submission and message.submission.reply:
                 self._send_reply(message, result)
+            elif result.confirmation:
+                self._provisional.add(message.entry, result.confirmation)
             else:
                 self._record_closed(number)
         else:
             try:
-                self._journal.record_outcome(number, attempt, not result.outcome.never_ran)
+                self._journal.record_outcome(number, attempt, result.may_have_run)
             except Exception as err:  # after a restart the attempt counts as one that may have run
                 logger.error("journal: {}", err)
             settled_attempt = message.entry.attempts[attempt]
-            settled_attempt.may_have_run, settled_attempt.settled = not result.outcome.never_ran, True
+            settled_attempt.may_have_run, settled_attempt.settled = result.may_have_run, True
             if message.withdrawn and not message.calls:
                 self._forget(number)
                 self._remember(message.entry)
@@ -646,6 +687,7 @@
             result.slots_taken,
             result.report,
             result.stale,
+            result.indeterminate,
         )
         if self._release_if_handing_over(message):
             self.feed(i.Withdrawn(number), settled)
@@ -686,6 +728,11 @@
         except Exception as err:  # after a restart the decision engine decides an end again
             logger.error("journal: {}", err)
 
+    def _report_refuted(self, entry: Entry, end: End) -> None:
+        if self._tracer:
+            self._tracer.ended(entry.number, end.handed_back, end.retry_in)
+        self._pending_ends.add(entry, end)
+
     def _send_notice(self, notice: Notice) -> None:
         if self._replicator:  # a successor without the record of the end could decide a different one
             self._replicator.when_safe(notice.number, lambda: self._notices.add(notice))
@@ -844,13 +891,9 @@
         entries = [self._adopting.pop(number) for number in numbers]
         for entry in entries:
             self._record_confirmed(entry)
-        routes = []
         for route, until in waits.items():
             self._waits[route] = max(self._waits.get(route, 0.0), until)
-            dest, endpoint = (route, None) if route >= 0 else (self._dest_of(~route), ~route)
-            routes.append(i.RestoredRoute(dest, endpoint, wait_until=to_micros(until), wait_only=True))
-        if routes:
-            self.feed(i.RestoredState(tuple(routes)))
+        self._apply_waits(waits)
         for entry in entries:
             self._start_adopted(entry, self._out_until(entry) - self._clock.now())
 
@@ -858,7 +901,7 @@
         """When the last attempt of the earlier owner is over, in milliseconds. This prevents two attempts at once: the
         owner may be paused with an attempt on the wire. A message that is not retried does not wait, and a keyed
         one waits no longer than its key is remembered: then it is given up."""
-        cls = self._config.settings.classes[self._config.names.classes.index(entry.class_name)]
+        cls = self._class_of(entry)
         until = max((attempt.until for attempt in entry.attempts if not attempt.settled), default=0.0)
         if entry.end or cls.effect is i.Effect.UNSAFE:
             return 0.0
@@ -880,6 +923,9 @@
         assert self._tasks
         self._tasks.start_soon(start_later)
 
+    def _class_of(self, entry: Entry) -> i.MessageClass:
+        return self._config.settings.classes[self._config.names.classes.index(entry.class_name)]
+
     def _dest_of(self, endpoint: int) -> int:
         member = self._directory.get(endpoint)
         return member.listed.dest if member else -1
@@ -894,7 +940,9 @@
     def release_copied(self) -> int:
         """Start no more attempts for replicated messages; returns how many still have one in progress."""
         self.letting_go = True
-        attempts_out = 0
+        attempts_out = (
+            sum(self._replicator.is_copied(number) for number in self._provisional) if self._replicator else 0
+        )
         for number, message in list(self._open.items()):
             if not (self._replicator and self._replicator.is_copied(number)):
                 continue
@@ -927,7 +975,7 @@
         if entry.class_name not in self._config.names.classes:
             entry.end = entry.end or End(False)
             return
-        cls = self._config.settings.classes[self._config.names.classes.index(entry.class_name)]
+        cls = self._class_of(entry)
         try:
             if (end := indeterminate.end_of(entry, cls)) is not None:
                 entry.end = end
@@ -988,6 +1036,7 @@
             for number in self._call_history.expired(self._clock.now()):
                 self._record_closed(number)
             overdue = self._clock.now() - _OVERDUE_GRACE_MS
+            self._provisional.end_overdue(overdue)
             for number in [
                 open_number for open_number, candidate in self._open.items() if candidate.entry.deadline < overdue
             ]:
--- a/tests/failover/test_out.py
+++ b/tests/failover/test_out.py
@@ -24,6 +24,7 @@
     relay: Any = mock.Mock()
     relay._config.settings.classes = CLASSES
     relay._config.names.classes = ("keyed", "safe", "unsafe")
+    relay._class_of = lambda entry: Relay._class_of(relay, entry)
     return Relay._out_until(relay, Entry(1, "m", cls, 1, 9_000.0, "k", b"", list(attempts), end))
 
 
--- a/tests/fleet/test_scenarios.py
+++ b/tests/fleet/test_scenarios.py
@@ -25,6 +25,7 @@
     "keys are remembered for ever": "outage",
     "a start knows no limit": "herd_backlog",
     "keys are remembered for ever by the decisions alone": "outage",
+    "the first bytes are the answer": "stray_copies",
 }
 
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 from conftest import CLASSES, KEYED, MS, SAFE, UNSAFE, Courier, answers, sends
 
@@ -139,3 +141,23 @@
     courier.now += CLASSES[SAFE].deadline - SECOND + 1
     assert len(answers(courier.tell())) == 1
     assert not answers(courier.wait(SECOND))
+
+
+@pytest.mark.parametrize(("cls", "again"), [(SAFE, True), (KEYED, True), (UNSAFE, False)])
+def test_a_refusal_that_may_be_another_calls_is_repeated_only_as_the_class_allows(cls: int, again: bool) -> None:
+    courier = Courier()
+    courier.list(i.Listed(11, 1), i.Listed(12, 1))
+    courier.arrive(cls)
+    courier.now += 10 * MS
+    actions = courier.tell(replace(courier.outcome(1, i.Outcome.MOOT), indeterminate=True))
+    actions += courier.wait(CLASSES[KEYED].window)
+    assert bool(sends(actions)) == again
+    assert any(isinstance(action, i.Fail) for action in actions) != again
+
+
+def test_a_keyed_message_is_not_repeated_after_such_a_refusal_once_its_key_is_forgotten(courier: Courier) -> None:
+    courier.arrive(KEYED)
+    courier.now += CLASSES[KEYED].window + MS
+    actions = courier.tell(replace(courier.outcome(1, i.Outcome.FULL), indeterminate=True))
+    assert not sends(actions + courier.wait(2 * SECOND))
+    assert len(answers(actions)) == 1
