--- a/tests/fleet/rig.py
+++ b/tests/fleet/rig.py
@@ -37,6 +37,7 @@
 ROOT = Path(__file__).parents[2]
 _READY_S = 20.0
 _ANSWER_S = 0.4  # so long a client waits for its 202
+_KEPT_PAUSE_S = 0.02  # of a client between two messages on one connection
 _PR_SET_PDEATHSIG = 1
 _TICK_S, _STALL_S = 0.02, 0.05
 
@@ -381,6 +382,38 @@
         self.story.tell("client", id=wire_id, status=status, relay=relay.name, again_s=again_s, closed=closed)
         return status
 
+    async def keep_handing_in(self, relay: Relay, seconds: float) -> None:
+        """One client that uses its connection for message after message, for as long as it stays open."""
+        until = self.story.now() + seconds
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", relay.port)
+        except OSError:
+            return
+        try:
+            while self.story.now() < until and await self._hand_in_kept(relay, reader, writer):
+                await asyncio.sleep(_KEPT_PAUSE_S)
+        finally:
+            writer.close()
+
+    async def _hand_in_kept(self, relay: Relay, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+        """Whether the connection may be used again."""
+        self._next += 1
+        wire_id, status, closed = f"k{self._next}.0", 0, False
+        self.story.tell("handed", id=wire_id, cls="scores", dest=1, relay=relay.name, left_s=4.0, aim_s=1.0)
+        try:
+            writer.write(
+                f"POST /scores HTTP/1.1\r\nHost: x\r\nReq-Id: {wire_id}\r\nReq-Deadline-Ms: 4000\r\n"
+                "Envelope: dest=1\r\nContent-Length: 4\r\n\r\nbody".encode()
+            )
+            head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), _ANSWER_S)
+            status = int(head.split(b" ", 2)[1])
+            await reader.readexactly(int(head.lower().partition(b"content-length:")[2].split(b"\r\n")[0] or 0))
+            closed = b"connection: close" in head.lower()
+        except (asyncio.IncompleteReadError, OSError, TimeoutError):
+            closed = True
+        self.story.tell("client", id=wire_id, status=status, relay=relay.name, again_s=0.0, closed=False)
+        return not closed
+
     async def _client(self, cls: str, dest: int, where: float, left_s: float | None) -> None:
         """One message, as the protocol has it: an id of its own for each time it is handed in."""
         self._next += 1
--- a/tests/fleet/soak.py
+++ b/tests/fleet/soak.py
@@ -20,12 +20,15 @@
 from fleet.links import Fault, cut_off, one_way_up
 from fleet.rig import Relay, Rig
 from fleet.shims import Switch
-from fleet.standins import Destination
+from fleet.standins import Destination, Server
+from fleet.stray import drawn
 
 RELAYS = 10
 LOAD_S, PER_S = 14.0, 70.0
 SETTLES_S = 10.0  # longer than any message lives, and than what a cold destination needs
 AT_ONCE = 3  # troubles that overlap
+_KILL_AFTER_S = 3.7  # from SIGTERM to SIGKILL, at the earliest
+_CROWD = 260  # idle clients, more than a relay's descriptors for clients
 _GONE_S = 0.05  # around a process's end its kernel closes what it had not read
 _COLD_AFTER_S = 1.5
 _CAPACITY = 80.0  # calls a second of a destination, of which half comes to it
@@ -56,6 +59,10 @@
             self.clock_set,
             self.rude_clients,
             self.held_up,
+            self.stray_bytes,
+            self.stray_bytes_of_the_platform,
+            self.kept_connections,
+            self.crowd,
         )
 
     def begin(self, name: str) -> None:
@@ -102,14 +109,19 @@
         self.busy.add(relay.name)
         process = relay.process
         assert process
+        kept = self.rig.during(lambda: self.rig.keep_handing_in(relay, _KILL_AFTER_S))
         self.rig.signal(signal.SIGTERM, relay.name)
+        for _ in range(self.random.randrange(3)):  # signals come in series
+            await self.lasts(0.0, 0.2)
+            process.send_signal(self.random.choice((signal.SIGTERM, signal.SIGHUP)))
         try:
-            code = await asyncio.to_thread(process.wait, 3.7)
+            code = await asyncio.to_thread(process.wait, _KILL_AFTER_S)
             if code != 0:
                 self.found("exit code", f"{relay.name} ended with {code} after SIGTERM")
         except Exception:  # it still has work
             self.rig.kill(relay.name)
         self.tell(f"{relay.name} is over")
+        await kept
         await self.lasts(0.0, 0.3)
         await self.back(relay)
 
@@ -233,6 +245,43 @@
         for writer in held:
             writer.transport.abort()
 
+    async def stray_bytes(self) -> None:
+        """Some endpoints send bytes that answer no call."""
+        servers = [endpoint.server for endpoint in self.rig.endpoints.values()]
+        chosen = self.random.sample(servers, self.random.randrange(1, len(servers) + 1))
+        await self._stray(chosen, "endpoints")
+
+    async def stray_bytes_of_the_platform(self) -> None:
+        await self._stray([self.rig.discovery.server], "platform")
+
+    async def _stray(self, servers: list[Server], where: str) -> None:
+        stray = drawn(self.random)
+        self.tell(f"{len(servers)} {where} send stray bytes: {stray}")
+        for server in servers:
+            server.stray = stray
+        await self.lasts(0.5, 4.0)
+        for server in servers:
+            server.stray = None
+
+    async def kept_connections(self) -> None:
+        """Clients that use one connection for many messages."""
+        if relay := self.anyone():
+            await self.rig.keep_handing_in(relay, self.random.uniform(0.5, 3.0))
+
+    async def crowd(self) -> None:
+        """Idle clients take the descriptors."""
+        if not (relay := self.anyone()) or self.random.random() < 0.7:
+            return
+        held = []
+        for _ in range(_CROWD):
+            with suppress(OSError):
+                _, writer = await asyncio.open_connection("127.0.0.1", relay.port)
+                held.append(writer)
+        self.tell(f"a crowd of {len(held)} at {relay.name}")
+        await self.lasts(0.5, 2.0)
+        for writer in held:
+            writer.transport.abort()
+
     async def held_up(self) -> None:
         """A relay stands still for as long as its machine may hold it up."""
         if not (relay := self.anyone()) or not relay.process:
@@ -257,6 +306,8 @@
             self.switch(name, disk=0, share=0.0)
         for dest in self.rig.dests.values():
             dest.fail = dest.hang = False
+        for server in [self.rig.discovery.server, *(endpoint.server for endpoint in self.rig.endpoints.values())]:
+            server.stray = None
 
     async def serves_again(self) -> None:
         """Every relay takes a message on, and delivers it."""
@@ -283,7 +334,10 @@
 
 async def soak(seed: int, code: str = "") -> Report:
     """`code` is not used: the relays run with their shims."""
-    dests = (Destination(1, _CAPACITY, _CAPACITY, tells_wait_ms=300.0), Destination(2, _CAPACITY, _CAPACITY))
+    dests = (
+        Destination(1, _CAPACITY, _CAPACITY, tells_wait_ms=300.0, errs=0.03),
+        Destination(2, _CAPACITY, _CAPACITY, takes_s=0.08, refuses=0.03),
+    )
     async with Rig(seed, RELAYS, dests, endpoints=3) as rig:
         run = Soak(rig, seed)
         for name in rig.relays:
