An idle connection that the poll cannot take costs its delivery nothing

The connection now stays without a watch: the next call's look and the periodic check see what came. The new test fails without it (the OSError).

A refusal that was held for certainty counts that time against its retry-after; a connection at a suspect endpoint that was used once is confirmed after 2 s of silence as others are.

--- a/calicohitch/net/connection_pool.py
+++ b/calicohitch/net/connection_pool.py
@@ -17,6 +17,7 @@
 import math
 from collections import Counter, deque
 from collections.abc import Callable, Iterable, Iterator
+from contextlib import suppress
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -66,7 +67,8 @@
     provisional: deque[Confirmation] = field(default_factory=deque)
 
     def add_provisional(self, confirmation: Confirmation, now: float, suspect: bool) -> None:
-        """The last response ends its message. Confirms the one that is `_MAX_PROVISIONAL` responses older."""
+        """The last response ends its message. Confirms the one that is `_MAX_PROVISIONAL` responses older. `suspect`:
+        it may well have been left over from an earlier call."""
         self.answered_at = now
         if not suspect:
             self.silent_from = min(self.silent_from, now + _MAX_SILENCE_S)
@@ -157,7 +159,8 @@
     # Idle connections
 
     def _watch(self, connection: PooledConnection) -> None:
-        asyncio.get_running_loop().add_reader(connection.http.fileno(), self._check_idle, connection)
+        with suppress(OSError):  # the poll takes no more for the moment: `run` and the next call look as well
+            asyncio.get_running_loop().add_reader(connection.http.fileno(), self._check_idle, connection)
 
     def _check_idle(self, connection: PooledConnection) -> bool:
         """Whether an idle connection is open with nothing to read; otherwise it is closed."""
--- a/calicohitch/net/endpoints.py
+++ b/calicohitch/net/endpoints.py
@@ -253,16 +253,17 @@
             # A response that is read in the loop turn in which the time ran out may have been written before or after
             # that. It does not end the message: the call counts as timed out and may have run.
             result = Result(Outcome.TIMEOUT, report=result.report)
+        suspect = connection.used and self._pool.is_suspect(exchange.key[0])
         connection.used = True
         if exchange.certain:
             self._keep(connection, still_wanted)
-            return result
+            return replace(result, wait=max(0.0, result.wait - _REFUSAL_SILENCE_S * 1e3))
         if not result.ended:
             # The call may still be running on the connection, so the next attempt waits for its close.
             self._pool.close_after_call(connection)
             return replace(result, indeterminate=True)
         confirmation = Confirmation()
-        connection.add_provisional(confirmation, anyio.current_time(), self._pool.is_suspect(exchange.key[0]))
+        connection.add_provisional(confirmation, anyio.current_time(), suspect)
         if complete:
             self._keep(connection, still_wanted)
         else:
--- a/tests/orders/test_stray_bytes.py
+++ b/tests/orders/test_stray_bytes.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import errno
 import socket
 import unittest
 from collections.abc import Awaitable, Callable
@@ -105,6 +107,28 @@
 
         run_test(test)
 
+    def test_a_poll_that_takes_no_more_sockets_costs_a_200_nothing(self) -> None:
+        async def test(world: Scripted) -> None:
+            link = await answered(world, OK)
+            loop, refused = asyncio.get_running_loop(), []
+            add_reader = loop.add_reader
+
+            def full(fd: int, callback: Callable[..., object], *args: object) -> None:
+                if callback == world.endpoints._pool._check_idle:
+                    refused.append(fd)
+                    raise OSError(errno.ENOSPC, "no space")
+                add_reader(fd, callback, *args)
+
+            with mock.patch.object(loop, "add_reader", full):
+                await answered(world, OK, link=link)
+            self.assertTrue(refused)
+            confirmed = known(world)
+            await anyio.sleep(0.3)
+            world.endpoints._pool.confirm_silent()
+            self.assertEqual((confirmed, world.kept), ([True], 1))
+
+        run_test(test)
+
     def test_an_early_end_of_the_connection_refutes_a_200(self) -> None:
         async def test(world: Scripted) -> None:
             link = await answered(world, OK)
