--- a/calicohitch/decisions.py
+++ b/calicohitch/decisions.py
@@ -201,10 +201,11 @@
             call.learned = True
             self._learn(call, event)
         message.attempt_ended(event.outcome)
-        may_still_run = event.indeterminate or event.outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED)
         if event.outcome.never_ran and not event.indeterminate:
             del message.may_have_run[event.attempt]
-        elif message.arrival.key and may_still_run:
+        elif message.arrival.key and (
+            event.indeterminate or event.outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED)
+        ):
             self._quiet_keys = {key: until for key, until in self._quiet_keys.items() if until > self._now}
             self._quiet_keys[message.arrival.key] = self._now + self._settings.rules.key_quiet
         if event.ended and not message.finished:
