One way to close a connection after its call, which looks for surplus bytes

ConnectionPool._close_unreusable and close_after_call did the same but for the reason. Behaviour is the same.

--- a/calicohitch/net/connection_pool.py
+++ b/calicohitch/net/connection_pool.py
@@ -116,7 +116,7 @@
         if connection.http.announced_close:
             self.retire_returned(connection)
         elif not connection.http.reusable:
-            self._close_unreusable(connection)
+            self.close_after_call(connection, CloseReason.NOT_REUSABLE)
         elif not self._policy.may_reuse(connection.key[0], now):
             self.retire_returned(connection)
         else:
@@ -129,17 +129,11 @@
         if not connection.provisional:
             self.close(connection, CloseReason.RETIRED)
         elif not (connection.http.reusable or connection.http.announced_close):
-            self._close_unreusable(connection)
+            self.close_after_call(connection, CloseReason.NOT_REUSABLE)
         else:
             self._retired[connection] = None
             self._watch(connection)
 
-    def _close_unreusable(self, connection: PooledConnection) -> None:
-        surplus = connection.http.surplus()
-        if surplus:
-            self._surplus_received(connection, surplus)
-        self.close(connection, CloseReason.SURPLUS if surplus else CloseReason.NOT_REUSABLE)
-
     def close(self, connection: PooledConnection, reason: CloseReason, confirmed: bool = False) -> None:
         """Close a connection that is in no pool. `confirmed`: what its provisional responses are now."""
         connection.http.close()
@@ -148,13 +142,13 @@
         for confirmation in connection.take_provisional():
             confirmation.resolve(confirmed)
 
-    def close_after_call(self, connection: PooledConnection) -> None:
-        """Close a connection whose call is not to be waited for, or whose response may be another call's."""
+    def close_after_call(self, connection: PooledConnection, reason: CloseReason = CloseReason.CALL_FAILED) -> None:
+        """Close a connection whose call is not to be waited for, or whose response may be another call's. If surplus
+        bytes are found, they are the reason."""
         if surplus := connection.http.surplus():
             self._surplus_received(connection, surplus)
-            self.close(connection, CloseReason.SURPLUS)
-        else:
-            self.close(connection, CloseReason.CALL_FAILED)
+            reason = CloseReason.SURPLUS
+        self.close(connection, reason)
 
     # Idle connections
 
