--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,5 @@
-"""Relays are killed just after they were told of a drain, while discovery is down: they send to that endpoint again."""
+"""Relays are killed just after they were told that an endpoint is gone, while discovery is down. They come back with
+the list from before, and send to the address of that endpoint, where one of another destination is by now."""
 
 from __future__ import annotations
 
@@ -9,14 +10,14 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
-from standins import ORDERS, SCORES, Answer, Endpoint, Request, World, play
+from standins import ORDERS, SCORES, Answer, CannotRun, Endpoint, Request, World, play
 
 HERE = Path(__file__).resolve().parent
 # TROUBLE: 1 both disruptions, 0 none; `kill` and `down` are one of them alone.
 TROUBLE = os.environ.get("TROUBLE", "1")
 KILL, DOWN = TROUBLE in ("1", "kill"), TROUBLE in ("1", "down")
-DRAIN_AT_S, END_S = 4.0, 15.0
-THEN_S = 0.2  # from the change of the list to the kill; half of it to the outage of discovery
+REPLACED_AT_S, HANDED_IN_S = 4.0, 13.0
+THEN_S = 0.2  # from when all are told to the kill; half of it to the outage of discovery
 KILLED = ("n0", "n1")  # of three: the pages allow seven in ten
 DOWN_S, STARTED_AFTER_S = 8.0, 0.6
 GRACE_S = 0.250 + 0.050
@@ -27,36 +28,36 @@
     world = World(HERE, relays=3)
     record = world.record
 
-    def add(name: str, dest: int) -> Endpoint:
-        endpoint = Endpoint(name, dest, "booking-firms", "east-wing", 16.0)
+    async def serve(_relay: str, _request: Request) -> Answer:
+        await asyncio.sleep(WORK_S)
+        return 200, {"Srv-Load": "x0=0,x1=0"}
 
-        async def serve(_relay: str, _request: Request) -> Answer:
-            if endpoint.phase != "Ready":  # it finishes what it has and wants nothing new
-                return 503, {}
-            await asyncio.sleep(WORK_S)
-            return 200, {"Srv-Load": "x0=0,x1=0"}
-
-        world.endpoint(endpoint, serve)
-        return endpoint
-
-    add("s-1", 7)
-    draining = add("s-2", 7)
-    add("s-3", 8)
+    for name, dest in (("s-1", 7), ("s-2", 7), ("s-3", 8)):
+        world.endpoint(Endpoint(name, dest, "booking-firms", "east-wing", 16.0), serve)
     async with world:
         await world.start()
         start, names = record.now(), list(world.relays)
         for service, dest, per_s in ((ORDERS, 7, 8), (SCORES, 7, 4), (ORDERS, 8, 6), (SCORES, 8, 2)):
-            world.spawn(world.clients(start + END_S - 1, per_s, dest, service, names))
-        await world.at(start + DRAIN_AT_S)
-        draining.phase = "Terminating"
-        record.add("trouble", draining=draining.id)
-        for relay in world.relays.values():
-            relay.agent.change()
+            world.spawn(world.clients(start + HANDED_IN_S, per_s, dest, service, names))
+        await world.at(start + REPLACED_AT_S)
+        # The machine of s-2 is gone with its connections. s-4, of destination 8, comes at its address.
+        replaced = world.endpoints["s-2"]
+        for server in replaced.servers.values():
+            server.drop_connections()
+        replaced.id, replaced.dest = "s-4", 8
+        record.add("trouble", gone="s-2", new_at_its_address="s-4")
+        agents = [relay.agent for relay in world.relays.values()]
+        for agent in agents:
+            agent.change()
+        while not all(agent.revision in agent.told for agent in agents):
+            if record.now() > start + REPLACED_AT_S + 1:
+                raise CannotRun("the change of the list was not fetched within a second")
+            await asyncio.sleep(0.01)
+        told = {agent.relay: agent.told[agent.revision] for agent in agents}
         await asyncio.sleep(THEN_S / 2)
-        told = {name: relay.agent.told[relay.agent.revision] for name, relay in world.relays.items()}
         record.add("trouble", discovery_down=DOWN)
-        for relay in world.relays.values():
-            relay.agent.silent = DOWN
+        for agent in agents:
+            agent.silent = DOWN
         await asyncio.sleep(THEN_S / 2)
         if KILL:
             killed = [world.relays[name] for name in KILLED]
@@ -67,18 +68,32 @@
                 relay.start(record)
             for relay in killed:
                 await relay.until_ready(record)
-        await world.at(start + DRAIN_AT_S + THEN_S / 2 + DOWN_S)
-        for relay in world.relays.values():
-            relay.agent.back()
+        await world.at(start + REPLACED_AT_S + THEN_S / 2 + DOWN_S)
+        for agent in agents:
+            agent.back()
         record.add("trouble", discovery_down=False)
-        await world.at(start + END_S)
+        await world.at(start + HANDED_IN_S + SCORES["hard_limit"] / 1e6 + 1.0)
+        dest_of = {event["id"]: event["dest"] for event in record.of("sent")}
+        # Calls for destination 7 at the address where s-2 was, once their relay was told and its grace is over.
         late = [
-            (event["relay"], round(event["first_byte"] - told[event["relay"]], 2))
+            event
             for event in record.of("call")
-            if event["endpoint"] == draining.id and event["first_byte"] > told[event["relay"]] + GRACE_S
+            if event["endpoint"] == "s-4"
+            and dest_of.get(event["id"]) == 7
+            and event["first_byte"] > told[event["relay"]] + GRACE_S
         ]
-        print(f"{len(late)} calls to the draining endpoint (relay, seconds after it was told): {late[:6]}")
-        record.add("verdict", late_calls=len(late))
+        ran = {event["call"] for event in record.of("answer") if event["status"] == 200}
+        ended = {event["id"] for event in record.of("notice")}
+        right = {event["id"] for event in record.of("answer") if event["status"] == 200 and event["endpoint"] == "s-1"}
+        for event in late:
+            record.add("late", call=event["call"], relay=event["relay"], id=event["id"])
+        wrong = [event["id"] for event in late if event["call"] in ran]
+        unended = [wire_id for wire_id in wrong if wire_id not in ended | right]
+        when = [(event["relay"], round(event["first_byte"] - told[event["relay"]], 2)) for event in late[:6]]
+        print(f"{len(late)} calls to the gone endpoint's address (relay, seconds after it was told): {when}")
+        print(f"{len(wrong)} messages for destination 7 ran at s-4, of destination 8")
+        print(f"{len(unended)} of these were neither delivered at destination 7 nor ended by a notice")
+        record.add("verdict", late_calls=len(late), ran_at_another_destination=len(wrong), no_other_end=len(unended))
         return bool(late)
 
 
--- a/review/standins.py
+++ b/review/standins.py
@@ -84,13 +84,16 @@
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port, backlog=512)
         self.port = self._server.sockets[0].getsockname()[1]
 
-    async def close(self) -> None:
-        """New connections are refused and the open ones are reset, as when the process of a server dies."""
-        if self._server:
-            self._server.close()
+    def drop_connections(self) -> None:
+        """The open connections are reset, as when the process of a server dies."""
         for writer in list(self._writers):
             with contextlib.suppress(Exception):
                 writer.transport.abort()
+
+    async def close(self) -> None:
+        if self._server:
+            self._server.close()
+        self.drop_connections()
         for task in list(self._tasks):
             task.cancel()
         self._server = None
