Review, case 1: a refusal that belongs to another call makes a payment run twice

A copy of an answer shifts the answers on a connection by one call, a refusal of one is taken for that of the next, and half a second of silence for its proof.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,161 +1,97 @@
-"""A copy of an answer meets the next call on its connection, and the endpoint then hangs: the message is lost."""
+"""A second copy of an answer shifts the answers on a connection by one call. The refusal of one call is then taken for
+that of the next, which runs, may not be repeated, and is sent again: it runs twice."""
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import os
+import random
 import sys
 import time
+from collections import Counter
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
-from standins import ORDERS, SCORES, Answer, Endpoint, Request, Server, World, play
+from standins import PAYMENTS, TROUBLE, Answer, Endpoint, Request, World, play, second_deployment
 
 HERE = Path(__file__).resolve().parent
-# TROUBLE: 1 both disruptions, 0 none; `copies` and `hang` are one of them alone.
-TROUBLE = os.environ.get("TROUBLE", "1")
-COPIES, HANG = TROUBLE in ("1", "copies"), TROUBLE in ("1", "hang")
-ONE_WAY_S = 0.040  # network between a relay and an endpoint
-WORK_S = 0.250
-COPY_AFTER_S = 0.010  # the second copy of an answer is written so long after it
-HANG_AT_S, HANG_S = 5.0, 10.0  # the limit of the pages is 8.2 to 18 s
-COPIES_S = 0.300  # so long before the hang answers come twice
-CLUMP, CLUMP_S = 36, 0.450  # messages for one destination, and how long before the hang they are handed in
-CAPACITY_PER_S = 32.0
-LAST_HANDED_IN_S = 8.0
-SLACK_S = 0.300 + 0.050  # after a message's time, until its end is overdue
-
-
-class DelayLink:
-    """A proxy that brings bytes, and the end of a connection, later by `ONE_WAY_S` in each direction, in order."""
-
-    def __init__(self, to: Server) -> None:
-        self._to = to
-        self.port = 0
-        self._tasks: set[asyncio.Task[None]] = set()
-
-    async def open(self) -> None:
-        await self._to.open()
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0, backlog=512)
-        self.port = self._server.sockets[0].getsockname()[1]
-
-    async def close(self) -> None:
-        self._server.close()
-        for task in self._tasks:
-            task.cancel()
-        await self._to.close()
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        try:
-            other_reader, other_writer = await asyncio.open_connection("127.0.0.1", self._to.port)
-        except OSError:
-            writer.transport.abort()
-            return
-        for source, target in ((reader, other_writer), (other_reader, writer)):
-            queue: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue()
-            self._tasks.add(asyncio.ensure_future(self._read(source, queue)))
-            self._tasks.add(asyncio.ensure_future(self._write(queue, target)))
-
-    @staticmethod
-    async def _read(source: asyncio.StreamReader, queue: asyncio.Queue[tuple[float, bytes]]) -> None:
-        data = b"-"
-        while data:
-            try:
-                data = await source.read(65_536)
-            except OSError:
-                data = b""
-            queue.put_nowait((time.monotonic() + ONE_WAY_S, data))
-
-    @staticmethod
-    async def _write(queue: asyncio.Queue[tuple[float, bytes]], target: asyncio.StreamWriter) -> None:
-        while True:
-            due, data = await queue.get()
-            await asyncio.sleep(max(0.0, due - time.monotonic()))
-            if not data:
-                target.close()
-                return
-            with contextlib.suppress(OSError):
-                target.write(data)
-                await target.drain()
+ONE_WAY_S = 0.060  # network between a relay and an endpoint
+COPY_AFTER_S = 0.040  # the second copy of an answer is written so long after it
+PARTNERS, EACH_S = 16, 4.0  # one after the other gets a clump of messages
+CLUMP = 30
+COPIES_S = 0.7  # from the clump on, answers of its partner come twice
+LIMIT_PER_S, DEPTH_S = 10.0, 0.9  # of each partner
+TELLS_WAIT, WAIT_MS = 0.3, (410, 950)  # the share of refusals that tell a wait, and its length
+SHORT_S, LONG_S, SHORT_SHARE = 0.25, 0.80, 0.6  # work of a call
+SEED = 1
 
 
 class Partner:
-    """Destination 7, with one endpoint and no limit but its capacity."""
+    """One endpoint, which takes calls up to a plain rate and turns away those above it. It answers the calls of a
+    connection in turn, and whatever it has taken runs to its end, also if its caller leaves."""
 
-    def __init__(self, world: World) -> None:
-        self._world = world
-        self.copying = self.hanging = False
+    def __init__(self, world: World, drawn: random.Random) -> None:
+        self._world, self._drawn = world, drawn
+        self._left, self._at = LIMIT_PER_S * DEPTH_S, time.monotonic()
         self._waiting: set[asyncio.StreamWriter] = set()  # connections with a call that is not answered
-
-    async def serve(self, _relay: str, request: Request) -> Answer:
+        self.copying = False
+
+    def _takes(self) -> bool:
+        now = time.monotonic()
+        self._left = min(LIMIT_PER_S * DEPTH_S, self._left + (now - self._at) * LIMIT_PER_S)
+        self._at = now
+        if self._left < 1:
+            return False
+        self._left -= 1
+        return True
+
+    async def serve(self, relay: str, request: Request) -> Answer:
         self._waiting.add(request.writer)
-        await asyncio.sleep(WORK_S)
-        if self.hanging:
-            await asyncio.sleep(120)  # a call that it took while it hangs is never answered
-        self._waiting.discard(request.writer)
+        try:
+            if not self._takes():
+                if self._drawn.random() < TELLS_WAIT:
+                    return 429, {"Wait-Ms": str(self._drawn.randint(*WAIT_MS))}
+                return 503, {}
+            self._world.record.add("run", id=request.headers["req-id"], relay=relay)
+            await asyncio.sleep(SHORT_S if self._drawn.random() < SHORT_SHARE else LONG_S)
+        finally:
+            self._waiting.discard(request.writer)
         if self.copying:
             self._world.spawn(self._second_copy(request))
-        return 200, {"Srv-Load": "x0=0,x1=0"}
+        return 200, {}
 
     async def _second_copy(self, request: Request) -> None:
         """Nothing else may wait on the connection, as far as the endpoint can see."""
         await asyncio.sleep(COPY_AFTER_S)
-        if not self.hanging and request.writer not in self._waiting and not request.writer.is_closing():
+        if request.writer not in self._waiting and not request.writer.is_closing():
             self._world.record.add("second_copy", of=request.headers["req-id"])
-            request.writer.write(b"HTTP/1.1 200 X\r\nSrv-Load: x0=0,x1=0\r\nContent-Length: 0\r\n\r\n")
-
-
-async def serve_other(_relay: str, _request: Request) -> Answer:
-    await asyncio.sleep(WORK_S)
-    return 200, {"Srv-Load": "x0=0,x1=0"}
-
-
-def lost(world: World) -> list[str]:
-    """Messages that were taken on, and neither delivered nor ended by a notice when that was due."""
-    ends: dict[str, float] = {}
-    for event in world.record.events:
-        if event["kind"] == "notice" or event["kind"] == "answer" and event["status"] == 200:
-            ends.setdefault(event["id"], event["at"])
-    handed_in = {event["id"]: event for event in world.record.of("sent")}
-    found = []
-    for event in world.record.of("answered"):
-        sent = handed_in[event["id"]]
-        due = sent["at"] + sent["deadline_ms"] / 1e3 + SLACK_S
-        if event["status"] in (200, 202) and ends.get(event["id"], 1e9) > due:
-            found.append(event["id"])
-    return found
+            request.writer.write(b"HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n")
 
 
 async def case() -> bool:
-    world = World(HERE, relays=2)
-    record, partner = world.record, Partner(world)
-    world.endpoint(Endpoint("s-1", 7, "booking-firms", "east-wing", CAPACITY_PER_S), partner.serve)
-    world.endpoint(Endpoint("s-2", 8, "booking-firms", "west-wing", CAPACITY_PER_S), serve_other)
-    for endpoint in world.endpoints.values():
-        endpoint.servers = {relay: DelayLink(server) for relay, server in endpoint.servers.items()}
+    world = World(HERE, relays=3, change=second_deployment)
+    record, drawn = world.record, random.Random(SEED)
+    partners = [Partner(world, drawn) for _ in range(PARTNERS)]
+    for n, partner in enumerate(partners, 1):
+        world.endpoint(Endpoint(f"s-{n}", n, "member-clubs", "building-a", LIMIT_PER_S), partner.serve)
+    world.delay_endpoints(ONE_WAY_S)
     async with world:
         await world.start()
         start, names = record.now(), list(world.relays)
-        for service, dest, per_s in ((ORDERS, 7, 8), (SCORES, 7, 2), (ORDERS, 8, 4), (SCORES, 8, 1)):
-            world.spawn(world.clients(start + LAST_HANDED_IN_S, per_s, dest, service, names))
-        await world.at(start + HANG_AT_S - CLUMP_S)
-        for n in range(CLUMP):
-            world.spawn(world.hand_in(world.relays[names[n % 2]], 7, ORDERS["hard_limit"] // 1000))
-        await world.at(start + HANG_AT_S - COPIES_S)
-        partner.copying = COPIES
-        record.add("trouble", answers_come_twice=COPIES)
-        await world.at(start + HANG_AT_S)
-        partner.copying, partner.hanging = False, HANG
-        record.add("trouble", answers_come_twice=False, hangs=HANG)
-        await world.at(start + HANG_AT_S + HANG_S)
-        partner.hanging = False
-        record.add("trouble", hangs=False)
-        await world.at(start + LAST_HANDED_IN_S + ORDERS["hard_limit"] / 1e6 + SLACK_S + 0.5)
-        found = lost(world)
-        print(f"{len(found)} messages were taken on and have no end: {' '.join(found)}")
-        record.add("verdict", lost=len(found), ids=",".join(found) or "-")
-        return bool(found)
+        for n, partner in enumerate(partners):
+            await world.at(start + 1 + EACH_S * n)
+            partner.copying = TROUBLE
+            record.add("trouble", answers_come_twice=TROUBLE, endpoint=f"s-{n + 1}")
+            for k in range(CLUMP):
+                relay = world.relays[names[k % len(names)]]
+                world.spawn(world.hand_in(relay, n + 1, PAYMENTS["hard_limit"] // 1000, service=PAYMENTS["name"]))
+            await asyncio.sleep(COPIES_S)
+            partner.copying = False
+        await world.at(start + 1 + EACH_S * PARTNERS + 6)
+        runs = Counter(event["id"] for event in record.of("run"))
+        twice = [wire_id for wire_id, count in runs.items() if count > 1]
+        print(f"{len(runs)} messages ran, {len(twice)} of them twice: {' '.join(twice)}")
+        record.add("verdict", ran=len(runs), twice=len(twice), ids=",".join(twice) or "-")
+        return bool(twice)
 
 
 sys.exit(play(case))
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,100 +1,105 @@
-"""Relays are killed just after they were told that an endpoint is gone, while discovery is down. They come back with
-the list from before, and send to the address of that endpoint, where one of another destination is by now."""
+"""A copy of an answer meets the next call on its connection, and the endpoint then hangs: the message is lost."""
 
 from __future__ import annotations
 
 import asyncio
 import os
-import signal
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
-from standins import ORDERS, SCORES, Answer, CannotRun, Endpoint, Request, World, play
+from standins import ORDERS, SCORES, Answer, Endpoint, Request, World, play
 
 HERE = Path(__file__).resolve().parent
-# TROUBLE: 1 both disruptions, 0 none; `kill` and `down` are one of them alone.
+# TROUBLE: 1 both disruptions, 0 none; `copies` and `hang` are one of them alone.
 TROUBLE = os.environ.get("TROUBLE", "1")
-KILL, DOWN = TROUBLE in ("1", "kill"), TROUBLE in ("1", "down")
-REPLACED_AT_S, HANDED_IN_S = 4.0, 13.0
-THEN_S = 0.2  # from when all are told to the kill; half of it to the outage of discovery
-KILLED = ("n0", "n1")  # of three: the pages allow seven in ten
-DOWN_S, STARTED_AFTER_S = 8.0, 0.6
-GRACE_S = 0.250 + 0.050
+COPIES, HANG = TROUBLE in ("1", "copies"), TROUBLE in ("1", "hang")
+ONE_WAY_S = 0.040  # network between a relay and an endpoint
 WORK_S = 0.250
+COPY_AFTER_S = 0.010  # the second copy of an answer is written so long after it
+HANG_AT_S, HANG_S = 5.0, 10.0  # the limit of the pages is 8.2 to 18 s
+COPIES_S = 0.300  # so long before the hang answers come twice
+CLUMP, CLUMP_S = 36, 0.450  # messages for one destination, and how long before the hang they are handed in
+CAPACITY_PER_S = 32.0
+LAST_HANDED_IN_S = 8.0
+SLACK_S = 0.300 + 0.050  # after a message's time, until its end is overdue
 
 
-async def case() -> bool:
-    world = World(HERE, relays=3)
-    record = world.record
+class Partner:
+    """Destination 7, with one endpoint and no limit but its capacity."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self.copying = self.hanging = False
+        self._waiting: set[asyncio.StreamWriter] = set()  # connections with a call that is not answered
 
-    async def serve(_relay: str, _request: Request) -> Answer:
+    async def serve(self, _relay: str, request: Request) -> Answer:
+        self._waiting.add(request.writer)
         await asyncio.sleep(WORK_S)
+        if self.hanging:
+            await asyncio.sleep(120)  # a call that it took while it hangs is never answered
+        self._waiting.discard(request.writer)
+        if self.copying:
+            self._world.spawn(self._second_copy(request))
         return 200, {"Srv-Load": "x0=0,x1=0"}
 
-    for name, dest in (("s-1", 7), ("s-2", 7), ("s-3", 8)):
-        world.endpoint(Endpoint(name, dest, "booking-firms", "east-wing", 16.0), serve)
+    async def _second_copy(self, request: Request) -> None:
+        """Nothing else may wait on the connection, as far as the endpoint can see."""
+        await asyncio.sleep(COPY_AFTER_S)
+        if not self.hanging and request.writer not in self._waiting and not request.writer.is_closing():
+            self._world.record.add("second_copy", of=request.headers["req-id"])
+            request.writer.write(b"HTTP/1.1 200 X\r\nSrv-Load: x0=0,x1=0\r\nContent-Length: 0\r\n\r\n")
+
+
+async def serve_other(_relay: str, _request: Request) -> Answer:
+    await asyncio.sleep(WORK_S)
+    return 200, {"Srv-Load": "x0=0,x1=0"}
+
+
+def lost(world: World) -> list[str]:
+    """Messages that were taken on, and neither delivered nor ended by a notice when that was due."""
+    ends: dict[str, float] = {}
+    for event in world.record.events:
+        if event["kind"] == "notice" or event["kind"] == "answer" and event["status"] == 200:
+            ends.setdefault(event["id"], event["at"])
+    handed_in = {event["id"]: event for event in world.record.of("sent")}
+    found = []
+    for event in world.record.of("answered"):
+        sent = handed_in[event["id"]]
+        due = sent["at"] + sent["deadline_ms"] / 1e3 + SLACK_S
+        if event["status"] in (200, 202) and ends.get(event["id"], 1e9) > due:
+            found.append(event["id"])
+    return found
+
+
+async def case() -> bool:
+    world = World(HERE, relays=2)
+    record, partner = world.record, Partner(world)
+    world.endpoint(Endpoint("s-1", 7, "booking-firms", "east-wing", CAPACITY_PER_S), partner.serve)
+    world.endpoint(Endpoint("s-2", 8, "booking-firms", "west-wing", CAPACITY_PER_S), serve_other)
+    world.delay_endpoints(ONE_WAY_S)
     async with world:
         await world.start()
         start, names = record.now(), list(world.relays)
-        for service, dest, per_s in ((ORDERS, 7, 8), (SCORES, 7, 4), (ORDERS, 8, 6), (SCORES, 8, 2)):
-            world.spawn(world.clients(start + HANDED_IN_S, per_s, dest, service, names))
-        await world.at(start + REPLACED_AT_S)
-        # The machine of s-2 is gone with its connections. s-4, of destination 8, comes at its address.
-        replaced = world.endpoints["s-2"]
-        for server in replaced.servers.values():
-            server.drop_connections()
-        replaced.id, replaced.dest = "s-4", 8
-        record.add("trouble", gone="s-2", new_at_its_address="s-4")
-        agents = [relay.agent for relay in world.relays.values()]
-        for agent in agents:
-            agent.change()
-        while not all(agent.revision in agent.told for agent in agents):
-            if record.now() > start + REPLACED_AT_S + 1:
-                raise CannotRun("the change of the list was not fetched within a second")
-            await asyncio.sleep(0.01)
-        told = {agent.relay: agent.told[agent.revision] for agent in agents}
-        await asyncio.sleep(THEN_S / 2)
-        record.add("trouble", discovery_down=DOWN)
-        for agent in agents:
-            agent.silent = DOWN
-        await asyncio.sleep(THEN_S / 2)
-        if KILL:
-            killed = [world.relays[name] for name in KILLED]
-            for relay in killed:
-                relay.signal(signal.SIGKILL, record)
-            await asyncio.sleep(STARTED_AFTER_S)
-            for relay in killed:
-                relay.start(record)
-            for relay in killed:
-                await relay.until_ready(record)
-        await world.at(start + REPLACED_AT_S + THEN_S / 2 + DOWN_S)
-        for agent in agents:
-            agent.back()
-        record.add("trouble", discovery_down=False)
-        await world.at(start + HANDED_IN_S + SCORES["hard_limit"] / 1e6 + 1.0)
-        dest_of = {event["id"]: event["dest"] for event in record.of("sent")}
-        # Calls for destination 7 at the address where s-2 was, once their relay was told and its grace is over.
-        late = [
-            event
-            for event in record.of("call")
-            if event["endpoint"] == "s-4"
-            and dest_of.get(event["id"]) == 7
-            and event["first_byte"] > told[event["relay"]] + GRACE_S
-        ]
-        ran = {event["call"] for event in record.of("answer") if event["status"] == 200}
-        ended = {event["id"] for event in record.of("notice")}
-        right = {event["id"] for event in record.of("answer") if event["status"] == 200 and event["endpoint"] == "s-1"}
-        for event in late:
-            record.add("late", call=event["call"], relay=event["relay"], id=event["id"])
-        wrong = [event["id"] for event in late if event["call"] in ran]
-        unended = [wire_id for wire_id in wrong if wire_id not in ended | right]
-        when = [(event["relay"], round(event["first_byte"] - told[event["relay"]], 2)) for event in late[:6]]
-        print(f"{len(late)} calls to the gone endpoint's address (relay, seconds after it was told): {when}")
-        print(f"{len(wrong)} messages for destination 7 ran at s-4, of destination 8")
-        print(f"{len(unended)} of these were neither delivered at destination 7 nor ended by a notice")
-        record.add("verdict", late_calls=len(late), ran_at_another_destination=len(wrong), no_other_end=len(unended))
-        return bool(late)
+        for service, dest, per_s in ((ORDERS, 7, 8), (SCORES, 7, 2), (ORDERS, 8, 4), (SCORES, 8, 1)):
+            world.spawn(world.clients(start + LAST_HANDED_IN_S, per_s, dest, service, names))
+        await world.at(start + HANG_AT_S - CLUMP_S)
+        for n in range(CLUMP):
+            world.spawn(world.hand_in(world.relays[names[n % 2]], 7, ORDERS["hard_limit"] // 1000))
+        await world.at(start + HANG_AT_S - COPIES_S)
+        partner.copying = COPIES
+        record.add("trouble", answers_come_twice=COPIES)
+        await world.at(start + HANG_AT_S)
+        partner.copying, partner.hanging = False, HANG
+        record.add("trouble", answers_come_twice=False, hangs=HANG)
+        await world.at(start + HANG_AT_S + HANG_S)
+        partner.hanging = False
+        record.add("trouble", hangs=False)
+        await world.at(start + LAST_HANDED_IN_S + ORDERS["hard_limit"] / 1e6 + SLACK_S + 0.5)
+        found = lost(world)
+        print(f"{len(found)} messages were taken on and have no end: {' '.join(found)}")
+        record.add("verdict", lost=len(found), ids=",".join(found) or "-")
+        return bool(found)
 
 
 sys.exit(play(case))
--- a/review/standins.py
+++ b/review/standins.py
@@ -130,6 +130,58 @@
             writer.close()
 
 
+class DelayLink:
+    """A proxy that brings bytes, and the end of a connection, `one_way_s` later in each direction, in order."""
+
+    def __init__(self, to: Server, one_way_s: float) -> None:
+        self._to, self._one_way_s = to, one_way_s
+        self.port = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def open(self) -> None:
+        await self._to.open()
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0, backlog=512)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def close(self) -> None:
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        await self._to.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            other_reader, other_writer = await asyncio.open_connection("127.0.0.1", self._to.port)
+        except OSError:
+            writer.transport.abort()
+            return
+        for source, target in ((reader, other_writer), (other_reader, writer)):
+            queue: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue()
+            self._tasks.add(asyncio.ensure_future(self._read(source, queue)))
+            self._tasks.add(asyncio.ensure_future(self._write(queue, target)))
+
+    async def _read(self, source: asyncio.StreamReader, queue: asyncio.Queue[tuple[float, bytes]]) -> None:
+        data = b"-"
+        while data:
+            try:
+                data = await source.read(65_536)
+            except OSError:
+                data = b""
+            queue.put_nowait((time.monotonic() + self._one_way_s, data))
+
+    @staticmethod
+    async def _write(queue: asyncio.Queue[tuple[float, bytes]], target: asyncio.StreamWriter) -> None:
+        while True:
+            due, data = await queue.get()
+            await asyncio.sleep(max(0.0, due - time.monotonic()))
+            if not data:
+                target.close()
+                return
+            with contextlib.suppress(OSError):
+                target.write(data)
+                await target.drain()
+
+
 class Agent:
     """Discovery's agent on the machine of one relay, which also receives the notices. `silent`: discovery is down, and
     calls for lists get no answer until it is back; notices are answered at once all the same."""
@@ -335,6 +387,53 @@
 }
 
 
+UPDATES = {
+    "name": "game-update",
+    "effect": "safe",
+    "group": "all",
+    "on_time": 4_000_000,
+    "hard_limit": 24_000_000,
+    "window": 24_000_000,
+    "importance": 1.0,
+    "late_worth": 0.4,
+}
+PAYMENTS = {
+    "name": "entry-payment",
+    "effect": "unsafe",
+    "group": "all",
+    "on_time": 2_000_000,
+    "hard_limit": 28_000_000,
+    "window": 28_000_000,
+    "importance": 2.0,
+    "late_worth": 0.4,
+}
+
+
+def second_deployment(told: dict[str, Any]) -> None:
+    """Change the settings to those of a relay of the second deployment: no reports, endpoints that are routes apart."""
+    told["services"] = [UPDATES, PAYMENTS]
+    told["caps"] |= {
+        "conn_idle": 5_000_000,
+        "connect_timeout": 1_000_000,
+        "max_retry_after": 2_000_000,
+        "open_cap": 120,
+        "second_copies": True,
+        "send_cap": 12,
+    }
+    told["client_habits"] = {"marks_retry": False}
+    told["family_info"] |= {"batch_by_kind": [10, 1], "call_slots": 4, "routes_apart": [True, True]}
+    told["flavors"] = ["major-partners", "member-clubs"]
+    told["load_report"] = {"names": [], "via": "none"}
+    told["zones"] = ["building-a", "building-b", "building-c"]
+    told["obligations"] |= {
+        "cold_from": 0.18,
+        "fall": 3_000_000,
+        "ramp_time": 10_000_000,
+        "stop_sending_within": 2_000_000,
+        "tip_multiple": 2.0,
+    }
+
+
 class World:
     """The stand-ins, the relays and the clients of one case. Leaving it ends every process and removes the folder."""
 
@@ -371,6 +470,11 @@
 
             endpoint.servers[relay] = Server(handle)
 
+    def delay_endpoints(self, one_way_s: float) -> None:
+        """Put a proxy in front of each endpoint; has to be called before the world is entered."""
+        for endpoint in self.endpoints.values():
+            endpoint.servers = {relay: DelayLink(server, one_way_s) for relay, server in endpoint.servers.items()}
+
     def _settings(self, told: dict[str, Any]) -> dict[str, Any]:
         self._change(told)
         return told
