--- a/review/1/case.py
+++ b/review/1/case.py
@@ -16,7 +16,7 @@
 HERE = Path(__file__).resolve().parent
 ONE_WAY_S = 0.060  # network between a relay and an endpoint
 COPY_AFTER_S = 0.040  # the second copy of an answer is written so long after it
-PARTNERS, EACH_S = 16, 4.0  # one after the other gets a clump of messages
+PARTNERS, EACH_S = 20, 4.0  # one after the other gets a clump of messages
 CLUMP = 30
 COPIES_S = 0.7  # from the clump on, answers of its partner come twice
 LIMIT_PER_S, DEPTH_S = 10.0, 0.9  # of each partner
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -19,8 +19,8 @@
 COPY_AFTER_S = 0.010  # the second copy of an answer is written so long after it
 HANG_AT_S, HANG_S = 5.0, 10.0  # the limit of the pages is 8.2 to 18 s
 COPIES_S = 0.300  # so long before the hang answers come twice
-CLUMP, CLUMP_S = 36, 0.450  # messages for one destination, and how long before the hang they are handed in
-CAPACITY_PER_S = 32.0
+CLUMP, CLUMP_S = 30, 0.450  # messages for one destination, and how long before the hang they are handed in
+CAPACITY_PER_S = 25.0
 LAST_HANDED_IN_S = 8.0
 SLACK_S = 0.300 + 0.050  # after a message's time, until its end is overdue
 
