--- a/review/standins.py
+++ b/review/standins.py
@@ -40,8 +40,8 @@
 class Record:
     """What was sent, answered and run: one line an event, with its time in seconds since the start."""
 
-    def __init__(self, path: Path) -> None:
-        self._file = path.open("w", encoding="utf-8")
+    def __init__(self, path: Path, append: bool = False) -> None:
+        self._file = path.open("a" if append else "w", encoding="utf-8")
         self._start = time.monotonic()
         self.events: list[dict[str, Any]] = []
 
@@ -438,10 +438,15 @@
     """The stand-ins, the relays and the clients of one case. Leaving it ends every process and removes the folder."""
 
     def __init__(
-        self, here: Path, relays: int, change: Callable[[dict[str, Any]], None] = lambda settings: None
+        self,
+        here: Path,
+        relays: int,
+        change: Callable[[dict[str, Any]], None] = lambda settings: None,
+        append: bool = False,
     ) -> None:
-        """`change`: applied to each relay's settings, where a case needs those of another deployment."""
-        self.record = Record(here / "record.txt")
+        """`change`: applied to each relay's settings, where a case needs those of another deployment. `append`: to the
+        record of an earlier world of the same case."""
+        self.record = Record(here / "record.txt", append)
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.endpoints: dict[str, Endpoint] = {}
         self.relays: dict[str, Relay] = {}
@@ -528,9 +533,11 @@
         self._tasks.add(task)
         return task
 
-    async def start(self) -> None:
+    async def start(self, spread_s: float = 0.0) -> None:
+        """Start the relays, each `spread_s` after the one before, and wait until all are ready."""
         for relay in self.relays.values():
             relay.start(self.record)
+            await asyncio.sleep(spread_s)
         for relay in self.relays.values():
             await relay.until_ready(self.record)
 
