An unsafe message is sent again only after a refusal that no earlier call can own

Cause: a copy of a 200 ended the next call, so the answers on its connection were shifted by one call. The refusal of that call was then taken for the refusal of the one after it, and 0.5 s without further bytes counted as proof, though calls last longer: `Endpoints._await_surplus` returned it as certain on a connection that had carried calls. Checked and ruled out: the decision engine (it gives up an unsafe message whose attempt may have run) and the close before the next attempt (a call that was taken runs on).

Change: a refusal of such a message is certain only as the first response on its connection; there no earlier call can own it. The 0.5 s remain as a further check there. On a used connection the attempt may have run, and the message is reported. So that refusals seldom cost a message, its calls to an endpoint that refused a call within the last 10 s go on new connections.

Tests: `test_the_refusal_of_an_earlier_call_does_not_let_an_unsafe_message_run_twice` and `test_calls_to_an_endpoint_that_refuses_go_on_new_connections` failed before. The test that held a refusal on a used connection for certain asserted the fault; in its place the same is asserted of a new connection, and the contrary of a used one. `test_a_refusal_that_is_followed_by_bytes_may_have_run` plays both kinds now.

--- a/calicohitch/net/connection_pool.py
+++ b/calicohitch/net/connection_pool.py
@@ -99,6 +99,13 @@
         """Whether the endpoint has sent bytes that answer no call, lately."""
         return self._policy.is_suspect(endpoint, anyio.current_time())
 
+    def needs_new_connection(self, endpoint: int) -> bool:
+        """See `ReusePolicy.needs_new_connection`."""
+        return self._policy.needs_new_connection(endpoint, anyio.current_time())
+
+    def refusal_received(self, endpoint: int) -> None:
+        self._policy.refusal_received(endpoint, anyio.current_time())
+
     def take(self, key: PoolKey) -> PooledConnection | None:
         """The most recently used connection: the others may then reach their idle time."""
         now = anyio.current_time()
--- a/calicohitch/net/endpoints.py
+++ b/calicohitch/net/endpoints.py
@@ -24,7 +24,9 @@
     from ..tracing.facts import AttemptFacts
 
 _MAX_RETRY_AFTER_MS = 3_600_000.0
-_REFUSAL_SILENCE_S = 0.5  # after the refusal of a message that may not be repeated, until it counts as certain
+# After the first response on a connection, if it refuses a message that may not be repeated: other bytes within this
+# time show that the endpoint sends some that answer no call.
+_REFUSAL_SILENCE_S = 0.5
 _DESCRIPTOR_POLL_S = 0.02  # interval between checks for a free descriptor
 
 
@@ -158,7 +160,7 @@
         """Send the request and receive the response; an error is stored in `exchange`."""
         call, (_, address) = exchange.call, exchange.key
         try:
-            needs_own = call.runs_once and self._pool.is_suspect(exchange.key[0])
+            needs_own = call.runs_once and self._pool.needs_new_connection(exchange.key[0])
             connection = None if needs_own else self._pool.take(exchange.key)
             if connection is None:
                 connection = PooledConnection(await self._connect(address, exchange), exchange.key)
@@ -181,13 +183,17 @@
             exchange.error = error
 
     async def _await_surplus(self, exchange: _Exchange, connection: PooledConnection, response: Response) -> None:
-        """A message that may not be repeated is sent again only if its refusal is certain: nothing may follow it."""
+        """A message that may not be repeated is sent again only if its refusal is certain: the first response on its
+        connection, which nothing follows. On a connection with earlier calls it may be the response to one of them,
+        however long the silence behind it."""
         result = call_result(response, self._fields)
         if result.ended or not result.outcome.never_ran:
             return
         if result.wait:
             self.on_wait(exchange.key[0], result.wait)
-        if connection.http.answered_early or not connection.http.reusable or self._pool.is_suspect(exchange.key[0]):
+        if connection.used or self._pool.is_suspect(exchange.key[0]):
+            return
+        if connection.http.answered_early or not connection.http.reusable:
             return
         with anyio.move_on_after(_REFUSAL_SILENCE_S) as silence:
             await connection.http.wait_for_more()
@@ -253,6 +259,8 @@
             # A response that is read in the loop turn in which the time ran out may have been written before or after
             # that. It does not end the message: the call counts as timed out and may have run.
             result = Result(Outcome.TIMEOUT, report=result.report)
+        if result.outcome is Outcome.FULL:
+            self._pool.refusal_received(exchange.key[0])
         suspect = connection.used and self._pool.is_suspect(exchange.key[0])
         connection.used = True
         if exchange.certain:
--- a/tests/orders/test_stray_bytes.py
+++ b/tests/orders/test_stray_bytes.py
@@ -216,8 +216,9 @@
 
 
 class MessagesThatRunOnce(unittest.TestCase):
-    def play(self, later: bytes, suspect: bool = False) -> tuple[Result, int]:
-        """The result of a refused call, and how many connections were used after the first."""
+    def play(self, later: bytes, used: bool, suspect: bool = False) -> tuple[Result, int]:
+        """The result of a refused call, and how many connections were opened after the first. `used`: the call goes on
+        a connection that has carried a call."""
         opened: list[Link] = []
         results: list[Result] = []
 
@@ -227,10 +228,12 @@
                 await first.send(OK)
                 while world.kept:
                     await anyio.sleep(0.001)
+            elif not used:
+                world.endpoints.close_idle(1)
             call = Call("a1", None, b"x", LIMIT * 1e3, runs_once=True)
 
             async def serve() -> None:
-                if suspect:
+                if suspect or not used:
                     opened.append(await world.accepted())
                 link = opened[0] if opened else first
                 await link.receive()
@@ -246,14 +249,34 @@
         run_test(test)
         return results[0], len(opened)
 
-    def test_a_refusal_that_nothing_follows_is_certain_unless_its_endpoint_is_suspect(self) -> None:
-        for suspect in (False, True):
-            result, opened = self.play(b"", suspect)
-            self.assertEqual((result.may_have_run, opened), (suspect, int(suspect)))
+    def test_the_refusal_of_an_earlier_call_does_not_let_an_unsafe_message_run_twice(self) -> None:
+        """Only the first response on a connection is certain, whatever the silence behind it."""
+        for used in (False, True):
+            result, opened = self.play(b"", used)
+            self.assertEqual((result.may_have_run, opened), (used, int(not used)))
+
+    def test_a_refusal_of_a_suspect_endpoint_may_have_run(self) -> None:
+        result, opened = self.play(b"", used=False, suspect=True)
+        self.assertEqual((result.may_have_run, opened), (True, 1))
 
     def test_a_refusal_that_is_followed_by_bytes_may_have_run(self) -> None:
-        for later in (OK, REFUSED, b"x"):
-            self.assertTrue(self.play(later)[0].may_have_run)
+        for used in (False, True):
+            for later in (OK, REFUSED, b"x"):
+                self.assertTrue(self.play(later, used)[0].may_have_run)
+
+    def test_calls_to_an_endpoint_that_refuses_go_on_new_connections(self) -> None:
+        async def test(world: Scripted) -> None:
+            await answered(world, REFUSED)
+            kept = await answered(world, OK)
+            call = Call("a1", None, b"x", LIMIT * 1e3, runs_once=True)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(world.endpoints.call, 1, world.address, call, anyio.CancelScope(), lambda: True)
+                link = await world.accepted()
+                await link.receive()
+                self.assertEqual(kept.receive_some(), b"")
+                await link.send(OK)
+
+        run_test(test)
 
 
 class Confirmations(unittest.TestCase):
