A silent endpoint confirms no delivery: its other calls have to be answered

Cause: the copy of a 200, written before the endpoint had the next call, was taken for the answer to that call. `ConnectionPool.confirm_silent` then took 2 s of silence, or the call's time, as proof that the answer was the call's own. Silence proves that only if the endpoint would have spoken, and it hung.

Change: `core/response_evidence.py` keeps what the calls to an endpoint prove. A response that ends its message is confirmed once its call's time is over (the figure of 2 s is gone) if all calls that were sent to the endpoint in that time have been answered; one that was left without an answer refutes it, one that is still open leaves it open. A response that came sooner than any confirmed one may have been written before the endpoint had the call: it needs an answered call of that time as well, its connection carries no further call, and later responses on the connection confirm nothing. What is not confirmed at its message's deadline is reported, as before. An early end of the connection refutes unless it was announced (1 s of rest counted as proof before).

In `test_stray_bytes.py` the later calls of a connection take 20 ms now: the stand-in answered within microseconds, sooner than the first call, which is what a copy looks like.

--- a/calicohitch/core/protocols.py
+++ b/calicohitch/core/protocols.py
@@ -110,8 +110,14 @@
         self._confirmed: bool | None = None
         self._then: Callable[[bool], None] | None = None
 
+    @property
+    def known(self) -> bool:
+        return self._confirmed is not None
+
     def resolve(self, confirmed: bool) -> None:
-        """Called once by the delivery."""
+        """Called by the delivery, and by the relay if it waits no longer; only the first call counts."""
+        if self.known:
+            return
         self._confirmed = confirmed
         if self._then:
             self._then(confirmed)
--- /dev/null
+++ b/calicohitch/core/response_evidence.py
@@ -0,0 +1,108 @@
+"""What the calls to an endpoint prove about a response that may be another call's. No I/O, no clock.
+
+On HTTP/1.1 a response belongs to a call by its order on the connection alone, so a 200 may have been left over from an
+earlier call. Its own response would then still come, unless the endpoint hangs. Silence on the connection therefore
+proves something only while the endpoint responds to other calls (`docs/design/surplus.md`).
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from dataclasses import dataclass, field
+from enum import Enum
+
+_FORGET_AFTER_S = 60.0
+_MAX_RECENT = 64  # answered calls that are remembered of an endpoint
+
+
+def _recent() -> deque[float]:
+    return deque(maxlen=_MAX_RECENT)
+
+
+class Verdict(Enum):
+    """On a response after which its connection stayed silent until the time of its call was over."""
+
+    CONFIRMED = "the call's own response would have come"
+    REFUTED = "the endpoint left later calls without a response"
+    OPEN = "not known yet"
+
+
+@dataclass(slots=True)
+class OpenCall:
+    """A call whose request was sent and that has neither ended nor been answered."""
+
+    endpoint: int
+    sent_at: float
+
+
+@dataclass(slots=True)
+class _Endpoint:
+    open: list[OpenCall] = field(default_factory=list)
+    unanswered_sent_at: float = -math.inf  # of the last call that ended without a response
+    answered_sent_at: deque[float] = field(default_factory=_recent)  # of calls with a plausible response
+    shortest_s: float = math.inf  # from a request to its confirmed response
+    used_at: float = -math.inf
+
+
+class ResponseEvidence:
+    """Times are seconds of any monotonic clock. Each `call_sent` is followed by one `call_answered` or
+    `call_unanswered`."""
+
+    def __init__(self) -> None:
+        self._endpoints: dict[int, _Endpoint] = {}
+
+    def call_sent(self, endpoint: int, now: float) -> OpenCall:
+        known = self._endpoints.setdefault(endpoint, _Endpoint())
+        call = OpenCall(endpoint, now)
+        known.open.append(call)
+        known.used_at = now
+        return call
+
+    def call_answered(self, call: OpenCall, response_time_s: float, first_response_time_s: float) -> bool:
+        """Returns whether the response is plausible: no sooner than the soonest confirmed one, or, before there is one,
+        than the first on the same connection. Bytes that the endpoint wrote before it had the request come within one
+        round trip, so they are not."""
+        known = self._close(call)
+        shortest_s = known.shortest_s if known.shortest_s < math.inf else first_response_time_s
+        plausible = response_time_s >= shortest_s
+        if plausible:
+            known.answered_sent_at.append(call.sent_at)
+        return plausible
+
+    def call_unanswered(self, call: OpenCall) -> None:
+        """The call timed out, was given up, or its connection broke."""
+        known = self._close(call)
+        known.unanswered_sent_at = max(known.unanswered_sent_at, call.sent_at)
+
+    def _close(self, call: OpenCall) -> _Endpoint:
+        known = self._endpoints[call.endpoint]
+        known.open = [other for other in known.open if other is not call]
+        return known
+
+    def confirmed(self, endpoint: int, response_time_s: float) -> None:
+        """A response has proved to be the one to its call."""
+        known = self._endpoints.setdefault(endpoint, _Endpoint())
+        known.shortest_s = min(known.shortest_s, response_time_s)
+
+    def judge(self, endpoint: int, sent_at: float, answered_at: float, silent_from: float, plausible: bool) -> Verdict:
+        """On a response to a call that was sent at `sent_at`. An endpoint that hangs leaves the calls that were sent
+        while this one should have been answered without a response too. A response that is not plausible needs proof
+        that the endpoint answered a call of that time."""
+        known = self._endpoints.get(endpoint)
+        if known is None:
+            return Verdict.CONFIRMED if plausible else Verdict.OPEN
+        if known.unanswered_sent_at >= sent_at:
+            return Verdict.REFUTED
+        if any(sent_at <= call.sent_at <= silent_from for call in known.open):
+            return Verdict.OPEN
+        answers = any(answered_at < other <= silent_from for other in known.answered_sent_at)
+        return Verdict.CONFIRMED if plausible or answers else Verdict.OPEN
+
+    def forget_old(self, now: float) -> None:
+        """Drop endpoints that have not been called for a while."""
+        self._endpoints = {
+            endpoint: known
+            for endpoint, known in self._endpoints.items()
+            if known.open or now < known.used_at + _FORGET_AFTER_S
+        }
--- a/calicohitch/net/connection_pool.py
+++ b/calicohitch/net/connection_pool.py
@@ -3,9 +3,9 @@
 On HTTP/1.1 a response belongs to a call by its order on the connection alone, so it may be left over from an earlier
 call, or have been sent unasked. No outcome is taken from such bytes for good (`docs/design/surplus.md`):
 
-- A response that ends a message is provisional. It is confirmed once the call's time is over and the connection was
-  silent since: otherwise the call's own response would have come. Other bytes, or an early end of the connection,
-  refute it.
+- A response that ends a message is provisional. It is confirmed once the call's time is over, if the connection was
+  silent since and the endpoint has responded to its other calls (`core/response_evidence.py`): otherwise the call's own
+  response would have come. Other bytes, or an early end of the connection, refute it.
 - After any other response the connection is closed, since the call may still be running on it.
 - Bytes on an idle connection are noticed at once. They close it, and the endpoint's connections are used once each for
   a while (`core/reuse_policy.py`).
@@ -28,6 +28,7 @@
 from ..config import Address
 from ..core.descriptor_budget import DescriptorBudget, DescriptorUse
 from ..core.protocols import Confirmation
+from ..core.response_evidence import ResponseEvidence, Verdict
 from ..core.reuse_policy import ReusePolicy
 from .http import ClientConnection
 
@@ -35,8 +36,6 @@
 # If one response was left over, each later call on the connection got the response before its own. So where this many
 # later responses end their messages too, a message has ended whichever of them was its own.
 _MAX_PROVISIONAL = 2
-_MAX_SILENCE_S = 2.0  # that confirms a response, unless its endpoint is suspect
-_MIN_IDLE_TIMEOUT_S = 1.0  # an endpoint that closes an idle connection sooner may have dropped its call
 _CHECK_INTERVAL_S = 0.1
 
 PoolKey = tuple[int, Address]
@@ -53,30 +52,35 @@
     DESCRIPTORS = "its descriptor is needed"
 
 
+@dataclass(slots=True)
+class _Provisional:
+    """A response that ended a message and is not confirmed yet. Times in the loop's seconds."""
+
+    confirmation: Confirmation
+    sent_at: float
+    answered_at: float
+    plausible: bool  # `ResponseEvidence.call_answered`, and its endpoint was not suspect
+
+
 @dataclass(eq=False, slots=True)
 class PooledConnection:
     """A connection with the state of its earlier calls. `idle_since` in milliseconds of the relay's clock; the other
-    times in the loop's seconds. `silent_from`: when silence since the last response confirms it."""
+    times in the loop's seconds. `silent_from`: when the time of its last call is over."""
 
     http: ClientConnection
     key: PoolKey
     used: bool = False  # it has carried a call before the current one
+    first_response_time_s: float = 0.0
     idle_since: float = 0.0
-    answered_at: float = 0.0
     silent_from: float = 0.0
-    provisional: deque[Confirmation] = field(default_factory=deque)
-
-    def add_provisional(self, confirmation: Confirmation, now: float, suspect: bool) -> None:
-        """The last response ends its message. Confirms the one that is `_MAX_PROVISIONAL` responses older. `suspect`:
-        it may well have been left over from an earlier call."""
-        self.answered_at = now
-        if not suspect:
-            self.silent_from = min(self.silent_from, now + _MAX_SILENCE_S)
-        self.provisional.append(confirmation)
-        if len(self.provisional) > _MAX_PROVISIONAL:
-            self.provisional.popleft().resolve(True)
-
-    def take_provisional(self) -> deque[Confirmation]:
+    provisional: deque[_Provisional] = field(default_factory=deque)
+
+    def drop_known(self) -> None:
+        """Forget the responses whose messages have been reported meanwhile."""
+        if any(response.confirmation.known for response in self.provisional):
+            self.provisional = deque(found for found in self.provisional if not found.confirmation.known)
+
+    def take_provisional(self) -> deque[_Provisional]:
         taken, self.provisional = self.provisional, deque()
         return taken
 
@@ -92,6 +96,7 @@
         self.idle: dict[PoolKey, deque[PooledConnection]] = {}
         self._retired: dict[PooledConnection, None] = {}
         self._policy = ReusePolicy()
+        self.evidence = ResponseEvidence()
         self.on_surplus: Callable[[int, bytes], None] = lambda _endpoint, _data: None
         self.closed: Counter[CloseReason] = Counter()
 
@@ -117,6 +122,25 @@
         connection = idle[-1] if idle else None
         return connection if connection and self._remove(connection) else None
 
+    def add_provisional(
+        self,
+        connection: PooledConnection,
+        confirmation: Confirmation,
+        sent_at: float,
+        answered_at: float,
+        plausible: bool,
+    ) -> None:
+        """The last response ends its message. If all of them are plausible, it confirms the one that is
+        `_MAX_PROVISIONAL` responses older."""
+        connection.drop_known()
+        connection.provisional.append(_Provisional(confirmation, sent_at, answered_at, plausible))
+        if len(connection.provisional) > _MAX_PROVISIONAL and all(found.plausible for found in connection.provisional):
+            self._confirm(connection, connection.provisional.popleft())
+
+    def _confirm(self, connection: PooledConnection, response: _Provisional) -> None:
+        self.evidence.confirmed(connection.key[0], response.answered_at - response.sent_at)
+        response.confirmation.resolve(True)
+
     def give_back(self, connection: PooledConnection) -> None:
         """Keep a connection for further calls."""
         now = anyio.current_time()
@@ -141,13 +165,13 @@
             self._retired[connection] = None
             self._watch(connection)
 
-    def close(self, connection: PooledConnection, reason: CloseReason, confirmed: bool = False) -> None:
-        """Close a connection that is in no pool. `confirmed`: what its provisional responses are now."""
+    def close(self, connection: PooledConnection, reason: CloseReason) -> None:
+        """Close a connection that is in no pool. This refutes the responses on it that are still provisional."""
         connection.http.close()
         self._descriptors.release(DescriptorUse.CALLS)
         self.closed[reason] += 1
-        for confirmation in connection.take_provisional():
-            confirmation.resolve(confirmed)
+        for response in connection.take_provisional():
+            response.confirmation.resolve(False)
 
     def close_after_call(self, connection: PooledConnection, reason: CloseReason = CloseReason.CALL_FAILED) -> None:
         """Close a connection whose call is not to be waited for, or whose response may be another call's. If surplus
@@ -178,15 +202,11 @@
             self._surplus_received(connection, data)
             self.close(connection, CloseReason.SURPLUS)
         else:
-            self.close(connection, CloseReason.ENDED, not broken and self._had_nothing_to_send(connection))
+            if not broken and connection.http.announced_close:
+                self._confirm_all(connection)
+            self.close(connection, CloseReason.ENDED)
         return False
 
-    def _had_nothing_to_send(self, connection: PooledConnection) -> bool:
-        """Whether an endpoint that ended a connection had answered all calls on it."""
-        now = anyio.current_time()
-        was_idle = now >= connection.answered_at + _MIN_IDLE_TIMEOUT_S
-        return connection.http.announced_close or was_idle and not self._policy.is_suspect(connection.key[0], now)
-
     def _surplus_received(self, connection: PooledConnection, data: bytes) -> None:
         endpoint, now = connection.key[0], anyio.current_time()
         if self._policy.may_reuse(endpoint, now):
@@ -255,21 +275,39 @@
                 self.retire_returned(connection)
 
     def confirm_silent(self) -> None:
-        """Confirm the provisional responses on connections that have been silent since their last call's time."""
+        """Judge the provisional responses on connections that have been silent since their last call's time."""
         now = anyio.current_time()
         for connection in [*self._all_idle(), *self._retired]:
-            if not connection.provisional or now < connection.silent_from:
-                continue
-            if not self._check_idle(connection):
+            connection.drop_known()
+            if connection.provisional and (now < connection.silent_from or not self._check_idle(connection)):
                 continue
-            for confirmation in connection.take_provisional():
-                confirmation.resolve(True)
-            if connection in self._retired:
+            self._judge_silent(connection)
+            if not connection.provisional and connection in self._retired:
                 self._remove_and_close(connection, CloseReason.RETIRED)
 
+    def _judge_silent(self, connection: PooledConnection) -> None:
+        """The first response that may be another call's makes the later ones on its connection doubtful as well."""
+        if not connection.provisional:
+            return
+        first, last = connection.provisional[0], connection.provisional[-1]
+        plausible = all(response.plausible for response in connection.provisional)
+        match self.evidence.judge(
+            connection.key[0], first.sent_at, last.answered_at, connection.silent_from, plausible
+        ):
+            case Verdict.CONFIRMED:
+                self._confirm_all(connection)
+            case Verdict.REFUTED:
+                for response in connection.take_provisional():
+                    response.confirmation.resolve(False)
+
+    def _confirm_all(self, connection: PooledConnection) -> None:
+        for response in connection.take_provisional():
+            self._confirm(connection, response)
+
     async def run(self) -> None:
         while True:
             await anyio.sleep(_CHECK_INTERVAL_S)
             self.confirm_silent()
             self.close_old()
             self._policy.forget_old(anyio.current_time())
+            self.evidence.forget_old(anyio.current_time())
--- a/calicohitch/net/endpoints.py
+++ b/calicohitch/net/endpoints.py
@@ -13,6 +13,7 @@
 from ..config import Address
 from ..core.descriptor_budget import DescriptorUse, DescriptorBudget
 from ..core.protocols import Call, Confirmation, Result
+from ..core.response_evidence import OpenCall
 from ..core.system_errors import OUT_OF_DESCRIPTORS, RETRY_PAUSE_S, Step, of_this_machine
 from ..interface import Outcome
 from . import answer
@@ -100,7 +101,7 @@
     connection: PooledConnection | None = None
     response: Response | None = None
     failed_locally: bool = False
-    request_started: bool = False
+    request: OpenCall | None = None  # once it is being sent
     not_wanted: bool = False
     certain: bool = False  # the response is the call's own, and the call is over
     error: OSError | LocalConnectError | None = None
@@ -144,6 +145,7 @@
             still_wanted = self._close_requests.get(endpoint, 0) == close_requests_before
         except BaseException:
             if exchange.connection is not None:
+                self._request_ended(exchange, exchange.connection)
                 self._pool.close(exchange.connection, CloseReason.CALL_FAILED)
             raise
         finally:
@@ -170,7 +172,7 @@
                 return
             if call.marks:
                 track_progress(call.marks, connection.http, connection.used, self._clock)
-            exchange.request_started = True
+            exchange.request = self._pool.evidence.call_sent(exchange.key[0], anyio.current_time())
             connection.silent_from = exchange.deadline
             remaining_ms = (
                 exchange.deadline - anyio.current_time()
@@ -219,18 +221,19 @@
         if exchange.not_wanted:
             self._keep(connection, still_wanted)
             return Result(Outcome.MOOT)
-        if not exchange.request_started:  # `wanted` failed, or the time was over: not a failure of the endpoint
+        plausible = self._request_ended(exchange, connection)
+        if exchange.request is None:  # `wanted` failed, or the time was over: not a failure of the endpoint
             self._pool.close(connection, CloseReason.CALL_FAILED)
             if exchange.error is not None:
                 return Result(Outcome.MOOT)
         elif exchange.error is not None:
             return self._broken(connection)
         elif exchange.response is not None:
-            return self._answered(exchange, connection, exchange.response, still_wanted)
+            return self._answered(exchange, connection, exchange.response, plausible, still_wanted)
         elif connection.http.sent and (response := connection.http.poll_response()):
             # The response may have arrived in the loop turn in which the time ran out. Its retry-after counts from
             # when it was written.
-            return self._answered(exchange, connection, response, False)
+            return self._answered(exchange, connection, response, False, False)
         else:
             self._pool.close_after_call(connection)
         if scope.cancelled_caught:
@@ -240,6 +243,19 @@
         self._pool.retire(exchange.key[0])
         return Result(Outcome.TIMEOUT if connection.http.sent else Outcome.CONNECT_FAILED)
 
+    def _request_ended(self, exchange: _Exchange, connection: PooledConnection) -> bool:
+        """Keep what the end of a call proves of its endpoint; returns whether its response is plausible."""
+        if (request := exchange.request) is None:
+            return False
+        evidence = self._pool.evidence
+        if not connection.http.answered:
+            evidence.call_unanswered(request)
+            return False
+        response_time_s = min(connection.http.answered_at, anyio.current_time()) - request.sent_at
+        if not connection.used:
+            connection.first_response_time_s = response_time_s
+        return evidence.call_answered(request, response_time_s, connection.first_response_time_s)
+
     def _broken(self, connection: PooledConnection) -> Result:
         """The connection failed during the call, or its response was invalid."""
         stale = connection.used and not connection.http.answered
@@ -249,7 +265,12 @@
         return Result(Outcome.RESET if connection.http.sent else Outcome.CONNECT_FAILED, stale=stale)
 
     def _answered(
-        self, exchange: _Exchange, connection: PooledConnection, response: Response, still_wanted: bool
+        self,
+        exchange: _Exchange,
+        connection: PooledConnection,
+        response: Response,
+        plausible: bool,
+        still_wanted: bool,
     ) -> Result:
         call, complete = exchange.call, response is exchange.response
         if call.marks:
@@ -261,7 +282,6 @@
             result = Result(Outcome.TIMEOUT, report=result.report)
         if result.outcome is Outcome.FULL:
             self._pool.refusal_received(exchange.key[0])
-        suspect = connection.used and self._pool.is_suspect(exchange.key[0])
         connection.used = True
         if exchange.certain:
             self._pool.close_after_call(connection)
@@ -270,10 +290,13 @@
             # The call may still be running on the connection, so the next attempt waits for its close.
             self._pool.close_after_call(connection)
             return replace(result, indeterminate=True)
+        assert exchange.request
         confirmation = Confirmation()
-        connection.add_provisional(confirmation, anyio.current_time(), suspect)
+        answered_at = connection.http.answered_at
+        trusted = plausible and not self._pool.is_suspect(exchange.key[0])
+        self._pool.add_provisional(connection, confirmation, exchange.request.sent_at, answered_at, trusted)
         if complete:
-            self._keep(connection, still_wanted)
+            self._keep(connection, still_wanted and plausible)
         else:
             self._pool.close_after_call(connection)
         return replace(result, confirmation=confirmation)
--- a/calicohitch/net/provisional_deliveries.py
+++ b/calicohitch/net/provisional_deliveries.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
+from dataclasses import dataclass
 
 from loguru import logger
 
@@ -16,6 +17,12 @@
 _FAILED = End(False)
 
 
+@dataclass(frozen=True, slots=True)
+class _Unconfirmed:
+    entry: Entry
+    confirmation: Confirmation
+
+
 class ProvisionalDeliveries:
     """`record_end` and `record_closed` write to the journal; `report` sends the notice of a recorded end."""
 
@@ -26,31 +33,30 @@
         report: Callable[[Entry, End], None],
     ) -> None:
         self._record_end, self._record_closed, self._report = record_end, record_closed, report
-        self._entries: dict[int, Entry] = {}
+        self._unconfirmed: dict[int, _Unconfirmed] = {}
         self.refuted = 0
 
     def __len__(self) -> int:
-        return len(self._entries)
+        return len(self._unconfirmed)
 
     def __iter__(self) -> Iterator[int]:
         """The numbers of the messages."""
-        return iter(self._entries)
+        return iter(self._unconfirmed)
 
     def add(self, entry: Entry, confirmation: Confirmation) -> None:
         entry.body = b""
-        self._entries[entry.number] = entry
+        self._unconfirmed[entry.number] = _Unconfirmed(entry, confirmation)
         self._record_end(entry, _FAILED)
         confirmation.when_known(lambda confirmed: self._known(entry.number, confirmed))
 
     def end_overdue(self, before: float) -> None:
         """Report those whose deadline was before this time, in milliseconds: their notices have to go out in time."""
-        for number in [number for number, entry in self._entries.items() if entry.deadline < before]:
-            self._known(number, False)
+        for delivery in list(self._unconfirmed.values()):
+            if delivery.entry.deadline < before:
+                delivery.confirmation.resolve(False)
 
     def _known(self, number: int, confirmed: bool) -> None:
-        entry = self._entries.pop(number, None)
-        if entry is None:
-            return
+        entry = self._unconfirmed.pop(number).entry
         if confirmed:
             self._record_closed(number)
             return
--- a/tests/orders/test_stray_bytes.py
+++ b/tests/orders/test_stray_bytes.py
@@ -57,12 +57,20 @@
     anyio.run(run)
 
 
-async def answered(world: Scripted, data: bytes, timeout_ms: float = 300, link: Link | None = None) -> Link:
-    """One call that is answered by `data`, on a new connection or on the one given."""
+WORK_S = 0.02  # of a call after the first, far above a round trip
+
+
+async def answered(
+    world: Scripted, data: bytes, timeout_ms: float = 300, link: Link | None = None, work_s: float | None = None
+) -> Link:
+    """One call that is answered by `data`, at once on a new connection, or after some work on the one given."""
+    if work_s is None:
+        work_s = WORK_S if link else 0.0
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(world.call, timeout_ms)
         link = link or await world.accepted()
         await link.receive()
+        await anyio.sleep(work_s)
         await link.send(data)
     return link
 
@@ -215,6 +223,70 @@
         run_test(test)
 
 
+class SilentEndpoints(unittest.TestCase):
+    """An accepted message has no end if the copy of an earlier 200 counts as its delivery and its endpoint hangs."""
+
+    def judged(self, test: Callable[[Scripted, Link], Awaitable[None]], work_s: float = 2 * WORK_S) -> list[bool]:
+        """What becomes of a 200 on a used connection after `test` and the silence until its call's time is over."""
+        found: list[bool] = []
+
+        async def run(world: Scripted) -> None:
+            link = await answered(world, OK, work_s=WORK_S)
+            await answered(world, OK, link=link, work_s=work_s)
+            judged = known(world)
+            await test(world, link)
+            await anyio.sleep(0.3)
+            world.endpoints._pool.confirm_silent()
+            found.extend(judged)
+
+        run_test(run)
+        return found
+
+    async def _call_elsewhere(self, world: Scripted, timeout_ms: float, answer: bytes) -> None:
+        """A call on a connection of its own."""
+        kept = world.endpoints._pool.take((1, world.address))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(world.call, timeout_ms)
+            link = await world.accepted()
+            await link.receive()
+            if answer:
+                await anyio.sleep(WORK_S)
+                await link.send(answer)
+        if kept:
+            world.endpoints._pool.give_back(kept)
+
+    def test_a_copy_at_an_endpoint_that_hangs_is_no_delivery(self) -> None:
+        async def hangs(world: Scripted, _link: Link) -> None:
+            await self._call_elsewhere(world, 50, b"")
+
+        self.assertEqual(self.judged(hangs), [False])
+
+    def test_a_copy_within_a_round_trip_is_no_delivery_without_other_responses(self) -> None:
+        async def nothing(_world: Scripted, _link: Link) -> None:
+            pass
+
+        self.assertEqual(self.judged(nothing, work_s=0.0), [])
+
+    def test_a_response_to_a_later_call_confirms_one_that_came_soon(self) -> None:
+        async def responds(world: Scripted, _link: Link) -> None:
+            await self._call_elsewhere(world, 300, OK)
+
+        self.assertEqual(self.judged(responds, work_s=0.0), [True])
+
+    def test_a_later_call_that_is_still_open_leaves_it_open(self) -> None:
+        async def run(world: Scripted) -> None:
+            link = await answered(world, OK)
+            await answered(world, OK, link=link, timeout_ms=50)
+            confirmed = known(world)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._call_elsewhere, world, 300, b"")
+                await anyio.sleep(0.1)
+                world.endpoints._pool.confirm_silent()
+                self.assertEqual(confirmed, [])
+
+        run_test(run)
+
+
 class MessagesThatRunOnce(unittest.TestCase):
     def play(self, later: bytes, used: bool, suspect: bool = False) -> tuple[Result, int]:
         """The result of a refused call, and how many connections were opened after the first. `used`: the call goes on
