A connection whose response came soon is used further, and a silent one is closed

A connection was retired after each response that came sooner than any confirmed one, and retired connections stayed open until their responses were judged: up to 92 descriptors where there were 30, and endpoints hold few connections.

Change: the connection is used further; as many later responses as may have been left over on it, two at least, end the earlier message whichever was its own, so a shift by more than two is covered as well. Responses whose connection was silent until its last call's time are judged without it, and a retired one is closed then. The end of a process waits for open messages and notices, and up to 1 s for confirmations, as before, since these take longer now.

Withdrawn: new connections for unsafe calls to endpoints that refused lately (with its test of this sitting; the rule that a refusal on a used connection is never certain stays).

--- a/calicohitch/core/reuse_policy.py
+++ b/calicohitch/core/reuse_policy.py
@@ -2,19 +2,14 @@
 
 On HTTP/1.1 a response belongs to a call by its order on the connection alone. An endpoint that sends bytes which answer
 no call makes that order worthless, so its connections are used once each for a while.
-
-Only on a new connection is a refusal certainly the one to its call. A message that may not be repeated is sent again
-only after such a refusal, so its calls to an endpoint that refuses calls get new connections.
 """
 
 from __future__ import annotations
 
-import math
 from dataclasses import dataclass
 
 FIRST_PAUSE_S, MAX_PAUSE_S = 1.0, 60.0
 SUSPICION_S = 600.0  # after the last pause
-REFUSAL_MEMORY_S = 10.0
 
 
 @dataclass(slots=True)
@@ -28,7 +23,6 @@
 
     def __init__(self) -> None:
         self._pauses: dict[int, _Pause] = {}
-        self._refused_at: dict[int, float] = {}
 
     def surplus_received(self, endpoint: int, now: float) -> None:
         """The endpoint sent bytes that answer no call. While it is suspect, each further pause is twice as long."""
@@ -50,19 +44,6 @@
         pause = self._pauses.get(endpoint)
         return pause is not None and now < pause.until + SUSPICION_S
 
-    def refusal_received(self, endpoint: int, now: float) -> None:
-        self._refused_at[endpoint] = now
-
-    def needs_new_connection(self, endpoint: int, now: float) -> bool:
-        """Whether a call that may have to prove that it never ran is to be the first on its connection."""
-        refused_lately = now < self._refused_at.get(endpoint, -math.inf) + REFUSAL_MEMORY_S
-        return refused_lately or self.is_suspect(endpoint, now)
-
     def forget_old(self, now: float) -> None:
         """Drop what no later decision depends on."""
         self._pauses = {endpoint: pause for endpoint, pause in self._pauses.items() if now < pause.until + MAX_PAUSE_S}
-        self._refused_at = {
-            endpoint: refused_at
-            for endpoint, refused_at in self._refused_at.items()
-            if now < refused_at + REFUSAL_MEMORY_S
-        }
--- a/calicohitch/net/connection_pool.py
+++ b/calicohitch/net/connection_pool.py
@@ -33,9 +33,10 @@
 from .http import ClientConnection
 
 _IDLE_TIMEOUT_SHARE = 0.9  # of the endpoints' idle timeout: the relay closes an idle connection before they do
-# If one response was left over, each later call on the connection got the response before its own. So where this many
-# later responses end their messages too, a message has ended whichever of them was its own.
-_MAX_PROVISIONAL = 2
+# If a response was left over, each later call on the connection got the response before its own. So where as many later
+# responses as were left over end their messages too, a message has ended whichever of them was its own. At least so
+# many, also if all came as late as their own may.
+_MIN_LATER_RESPONSES = 2
 _CHECK_INTERVAL_S = 0.1
 
 PoolKey = tuple[int, Address]
@@ -73,6 +74,7 @@
     first_response_time_s: float = 0.0
     idle_since: float = 0.0
     silent_from: float = 0.0
+    implausible: int = 0  # unconfirmed responses that may have been left over
     provisional: deque[_Provisional] = field(default_factory=deque)
 
     def drop_known(self) -> None:
@@ -85,6 +87,16 @@
         return taken
 
 
+@dataclass(frozen=True, slots=True)
+class _Silent:
+    """Responses that nothing followed until the time of the last call on their connection was over: `silent_from`, in
+    the loop's seconds. The connection proves nothing more of them."""
+
+    connection: PooledConnection
+    responses: deque[_Provisional]
+    silent_from: float
+
+
 class ConnectionPool:
     """The connections that carry no call now. Each holds a descriptor from its opening to its close."""
 
@@ -95,6 +107,7 @@
         # that takes over the address does not receive its calls.
         self.idle: dict[PoolKey, deque[PooledConnection]] = {}
         self._retired: dict[PooledConnection, None] = {}
+        self._silent: list[_Silent] = []
         self._policy = ReusePolicy()
         self.evidence = ResponseEvidence()
         self.on_surplus: Callable[[int, bytes], None] = lambda _endpoint, _data: None
@@ -104,13 +117,6 @@
         """Whether the endpoint has sent bytes that answer no call, lately."""
         return self._policy.is_suspect(endpoint, anyio.current_time())
 
-    def needs_new_connection(self, endpoint: int) -> bool:
-        """See `ReusePolicy.needs_new_connection`."""
-        return self._policy.needs_new_connection(endpoint, anyio.current_time())
-
-    def refusal_received(self, endpoint: int) -> None:
-        self._policy.refusal_received(endpoint, anyio.current_time())
-
     def take(self, key: PoolKey) -> PooledConnection | None:
         """The most recently used connection: the others may then reach their idle time."""
         now = anyio.current_time()
@@ -130,15 +136,16 @@
         answered_at: float,
         plausible: bool,
     ) -> None:
-        """The last response ends its message. If all of them are plausible, it confirms the one that is
-        `_MAX_PROVISIONAL` responses older."""
+        """The last response ends its message, which confirms the one that is enough responses older."""
         connection.drop_known()
         connection.provisional.append(_Provisional(confirmation, sent_at, answered_at, plausible))
-        if len(connection.provisional) > _MAX_PROVISIONAL and all(found.plausible for found in connection.provisional):
+        connection.implausible += not plausible
+        while len(connection.provisional) > max(_MIN_LATER_RESPONSES, connection.implausible):
             self._confirm(connection, connection.provisional.popleft())
 
     def _confirm(self, connection: PooledConnection, response: _Provisional) -> None:
         self.evidence.confirmed(connection.key[0], response.answered_at - response.sent_at)
+        connection.implausible -= not response.plausible
         response.confirmation.resolve(True)
 
     def give_back(self, connection: PooledConnection) -> None:
@@ -279,26 +286,29 @@
         now = anyio.current_time()
         for connection in [*self._all_idle(), *self._retired]:
             connection.drop_known()
-            if connection.provisional and (now < connection.silent_from or not self._check_idle(connection)):
-                continue
-            self._judge_silent(connection)
-            if not connection.provisional and connection in self._retired:
+            if connection.provisional:
+                if now < connection.silent_from or not self._check_idle(connection):
+                    continue
+                self._silent.append(_Silent(connection, connection.take_provisional(), connection.silent_from))
+            if connection in self._retired:
                 self._remove_and_close(connection, CloseReason.RETIRED)
+        self._silent = [silent for silent in self._silent if not self._judge(silent)]
 
-    def _judge_silent(self, connection: PooledConnection) -> None:
-        """The first response that may be another call's makes the later ones on its connection doubtful as well."""
-        if not connection.provisional:
-            return
-        first, last = connection.provisional[0], connection.provisional[-1]
-        plausible = all(response.plausible for response in connection.provisional)
-        match self.evidence.judge(
-            connection.key[0], first.sent_at, last.answered_at, connection.silent_from, plausible
-        ):
-            case Verdict.CONFIRMED:
-                self._confirm_all(connection)
-            case Verdict.REFUTED:
-                for response in connection.take_provisional():
-                    response.confirmation.resolve(False)
+    def _judge(self, silent: _Silent) -> bool:
+        """Judge the responses of one connection; False if it is not known yet what they are. The first that may be
+        another call's makes the later ones doubtful as well."""
+        responses = [response for response in silent.responses if not response.confirmation.known]
+        if not responses:
+            return True
+        endpoint, plausible = silent.connection.key[0], all(response.plausible for response in responses)
+        first, last = responses[0], responses[-1]
+        verdict = self.evidence.judge(endpoint, first.sent_at, last.answered_at, silent.silent_from, plausible)
+        for response in responses:
+            if verdict is Verdict.CONFIRMED:
+                self._confirm(silent.connection, response)
+            elif verdict is Verdict.REFUTED:
+                response.confirmation.resolve(False)
+        return verdict is not Verdict.OPEN
 
     def _confirm_all(self, connection: PooledConnection) -> None:
         for response in connection.take_provisional():
--- a/calicohitch/net/endpoints.py
+++ b/calicohitch/net/endpoints.py
@@ -162,7 +162,7 @@
         """Send the request and receive the response; an error is stored in `exchange`."""
         call, (_, address) = exchange.call, exchange.key
         try:
-            needs_own = call.runs_once and self._pool.needs_new_connection(exchange.key[0])
+            needs_own = call.runs_once and self._pool.is_suspect(exchange.key[0])
             connection = None if needs_own else self._pool.take(exchange.key)
             if connection is None:
                 connection = PooledConnection(await self._connect(address, exchange), exchange.key)
@@ -280,8 +280,6 @@
             # A response that is read in the loop turn in which the time ran out may have been written before or after
             # that. It does not end the message: the call counts as timed out and may have run.
             result = Result(Outcome.TIMEOUT, report=result.report)
-        if result.outcome is Outcome.FULL:
-            self._pool.refusal_received(exchange.key[0])
         connection.used = True
         if exchange.certain:
             self._pool.close_after_call(connection)
@@ -296,7 +294,7 @@
         trusted = plausible and not self._pool.is_suspect(exchange.key[0])
         self._pool.add_provisional(connection, confirmation, exchange.request.sent_at, answered_at, trusted)
         if complete:
-            self._keep(connection, still_wanted and plausible)
+            self._keep(connection, still_wanted)
         else:
             self._pool.close_after_call(connection)
         return replace(result, confirmation=confirmation)
--- a/calicohitch/net/relay.py
+++ b/calicohitch/net/relay.py
@@ -196,15 +196,14 @@
 
     @property
     def idle(self) -> bool:
-        """No message is open and no end or notice is pending."""
-        ending = (
-            len(self._pending_ends)
-            or len(self._notices)
-            or len(self._provisional)
-            or self._replicator
-            and self._replicator.ends_waiting
-        )
-        return not self._open and not ending
+        """No message is open, no end or notice is pending, and no delivery is provisional."""
+        return self.all_ended and not len(self._provisional)
+
+    @property
+    def all_ended(self) -> bool:
+        """No message is open and no end or notice is pending; deliveries may still be provisional."""
+        pending = len(self._pending_ends) or len(self._notices) or self._replicator and self._replicator.ends_waiting
+        return not self._open and not pending
 
     async def confirm_deliveries(self, timeout_s: float) -> None:
         """Wait until no delivery is provisional any more; after the time limit those that are count as failed, and
--- a/calicohitch/service.py
+++ b/calicohitch/service.py
@@ -128,7 +128,7 @@
                 clients.close_kept()
                 if failover and operator.fleet and operator.fleet.hand_over:
                     await _hand_over(relay, failover)
-                while clients.answering or not relay.idle or grpc_intake and grpc_intake.open_calls:
+                while clients.answering or not relay.all_ended or grpc_intake and grpc_intake.open_calls:
                     await anyio.sleep(0.05)
                 await relay.confirm_deliveries(_CONFIRMATION_TIMEOUT_S)
                 while not relay.idle:
