An endpoint that sent surplus bytes stays suspect for ten minutes, as the design says

`ReusePolicy.forget_old`, which runs ten times a second, dropped an endpoint's entry 60 s after its last pause, and `is_suspect` found none from then on: deliveries and refusals of an endpoint that had sent bytes that answer no call were trusted again nine minutes too soon. Entries stay for `SUSPICION_S`.

`test_an_endpoint_stays_suspect_while_old_entries_are_dropped` failed before.

--- a/calicohitch/core/reuse_policy.py
+++ b/calicohitch/core/reuse_policy.py
@@ -46,4 +46,4 @@
 
     def forget_old(self, now: float) -> None:
         """Drop what no later decision depends on."""
-        self._pauses = {endpoint: pause for endpoint, pause in self._pauses.items() if now < pause.until + MAX_PAUSE_S}
+        self._pauses = {endpoint: pause for endpoint, pause in self._pauses.items() if now < pause.until + SUSPICION_S}
--- a/tests/test_reuse_policy.py
+++ b/tests/test_reuse_policy.py
@@ -35,6 +35,13 @@
         policy.surplus_received(1, 3.0 + SUSPICION_S)
         self.assertTrue(policy.may_reuse(1, 3.0 + SUSPICION_S + FIRST_PAUSE_S))
 
+    def test_an_endpoint_stays_suspect_while_old_entries_are_dropped(self) -> None:
+        """It was forgotten after a minute, and a refusal of it counted as certain again."""
+        policy = ReusePolicy()
+        policy.surplus_received(1, 0.0)
+        policy.forget_old(FIRST_PAUSE_S + SUSPICION_S - 0.01)
+        self.assertTrue(policy.is_suspect(1, FIRST_PAUSE_S + SUSPICION_S - 0.01))
+
 
 if __name__ == "__main__":
     unittest.main()
