What discovery tells is stored in the turn in which it is told

Cause: `Relay._endpoint_list_updated` only marked the state as changed, and the list was stored up to a second later. The killed relays came back with the list from before.

Change: the state is stored before the turn of the event loop ends, so before another byte is sent. `Discovery` sets the revision before it notifies, so that the list is stored under its own. A write that the disk refuses is tried again at the next interval although nothing else changes (the mark was cleared before).

--- a/calicohitch/net/discovery.py
+++ b/calicohitch/net/discovery.py
@@ -325,16 +325,16 @@
             self._accept_stale_at = None
         elif self._accept_stale_at is None:
             self._accept_stale_at = anyio.current_time() + _STALE_DISCOVERY_TIMEOUT_S
+        # A restored list may be newer than a discovery that lost its state, which would then report no changes.
+        previous = self._version
+        went_back = previous is not None and update.version < previous and not update.complete
+        self._version = None if went_back else update.version
         if update.complete or update.entries:  # stale ones too: the directory has applied them
             self._notify(update.event())
-        if self._version is not None and update.version < self._version and not update.complete:
-            # A restored list may be newer than a discovery that lost its state, which would then report no changes.
+        if went_back:
             logger.warning(
-                "discovery is at revision {}, after {}; requesting the complete list",
-                update.version,
-                self._version,
+                "discovery is at revision {}, after {}; requesting the complete list", update.version, previous
             )
-            self._version = None
             return
-        self._version, self._may_be_stale = update.version, False
+        self._may_be_stale = False
         self.heard.set()
--- a/calicohitch/net/relay.py
+++ b/calicohitch/net/relay.py
@@ -184,6 +184,8 @@
                 with anyio.move_on_after(_REPLICATION_START_TIMEOUT_S):
                     await self._replication_started.wait()
             self.ready = True
+            if self.changed_since_saved:
+                self.save_state()
 
     def follow(self, config: Config) -> None:
         """Apply the discovery address of a new configuration; all other changes in it need a restart."""
@@ -418,8 +420,7 @@
     def save_state(self) -> None:
         """Store the current platform state for the next incarnation."""
         if self._state_cache and self._journal.may_act():
-            self.changed_since_saved = False
-            self._state_cache.save(
+            self.changed_since_saved = not self._state_cache.save(
                 self._clock.now(),
                 self._engine.known(),
                 self._name_of,
@@ -461,6 +462,10 @@
             if entry.phase is not i.Phase.READY:
                 for delivery in self._deliveries.values():
                     delivery.close_idle(entry.endpoint)
+        if self.ready and self._storable():
+            # Before another byte is sent: after a kill the next incarnation may find discovery down, and must not call
+            # an endpoint that this one was told is gone.
+            self.save_state()
 
     def _carry_out(self, action: i.Action) -> None:
         match action:
--- a/calicohitch/recovery/state_cache.py
+++ b/calicohitch/recovery/state_cache.py
@@ -120,9 +120,9 @@
         discovery: str,
         revision: int | None,
         members: Callable[[], Sequence[dict[str, Any]]],
-    ) -> None:
-        """Store the present state. `members`: in the form that discovery returns. Routes without any known state are
-        left out."""
+    ) -> bool:
+        """Store the present state; False if the disk refuses it. `members`: in the form that discovery returns. Routes
+        without any known state are left out."""
         self._saved_at = wall
         routes = tuple(
             cached_state.KnownRoute(
@@ -153,3 +153,4 @@
             if not self._save_failed:
                 logger.warning("the cached state could not be stored: {}", err)
             self._save_failed = True
+        return not self._save_failed
--- a/tests/orders/test_discovery_updates.py
+++ b/tests/orders/test_discovery_updates.py
@@ -18,12 +18,29 @@
 from calicohitch.interface import Phase
 from calicohitch.net.discovery import Directory, ListError
 from calicohitch.net.server_client import Moved, ServerClient
+from calicohitch.recovery import state_cache
+from calicohitch.recovery.state_files import StateFiles
 
 RELAY_COUNTS = (1, 2, 3, 5, 40, 99, 100, 200, 1_000)
 KNOWN_AFTER_S = 6.0  # a change counts as known so long after a long poll stopped being answered
 MARGIN_S = 0.25
 
 
+class ToldAndKilled(unittest.TestCase):
+    @in_world
+    async def test_what_was_told_of_endpoints_outlasts_a_kill_right_after_it(self, world: World) -> None:
+        """A stored list from before sends messages to an endpoint that the relay was told is gone."""
+        with mock.patch.object(state_cache, "_SAVE_INTERVAL_MS", math.inf):
+            async with world.relay() as relay:
+                relay._state_cache = state_cache.StateCache(world.folder, 1, relay._config.names.classes)
+                world.change(member("127.0.0.1:1", "s-2"))
+                await until(lambda: relay._directory.number("s-2"))
+                stored = StateFiles(world.folder).read()
+                assert stored
+                self.assertEqual([found["id"] for found in stored.members], ["s-2"])
+                self.assertEqual(stored.revision, world.revision)
+
+
 class Silence(unittest.TestCase):
     """On a computed clock: the time from when discovery stops answering to the poll that is answered."""
 
