Copies that were taken for responses count until silence proves that none is left over

A response that came too soon was no longer counted once later responses had confirmed its message, though the later responses stay shifted by it: three such copies on one connection could end a message whose own response had not come. The count stays until silence and the endpoint's other calls prove that nothing is left over. An endpoint that is suspect no longer adds to it, since only a response that came too soon can be a copy that crossed a call. No test shows the first of these: `test_each_copy_that_may_be_left_over_takes_one_more_to_confirm_a_200` guards the rule and passed before too.

Bytes that come after the silence, while the responses before it are not judged yet, now refute these too: `test_bytes_that_come_after_the_silence_refute_what_it_left_open` failed before.

--- a/calicohitch/net/connection_pool.py
+++ b/calicohitch/net/connection_pool.py
@@ -60,7 +60,7 @@
     confirmation: Confirmation
     sent_at: float
     answered_at: float
-    plausible: bool  # `ResponseEvidence.call_answered`, and its endpoint was not suspect
+    trusted: bool  # it is plausible (`ResponseEvidence.call_answered`) and its endpoint was not suspect
 
 
 @dataclass(eq=False, slots=True)
@@ -74,7 +74,7 @@
     first_response_time_s: float = 0.0
     idle_since: float = 0.0
     silent_from: float = 0.0
-    implausible: int = 0  # unconfirmed responses that may have been left over
+    implausible: int = 0  # responses that may have been left over, since silence last proved that none was
     provisional: deque[_Provisional] = field(default_factory=deque)
 
     def drop_known(self) -> None:
@@ -95,6 +95,11 @@
     connection: PooledConnection
     responses: deque[_Provisional]
     silent_from: float
+    implausible: int  # of its connection by then
+
+    def refute(self) -> None:
+        for response in self.responses:
+            response.confirmation.resolve(False)
 
 
 class ConnectionPool:
@@ -137,15 +142,15 @@
         plausible: bool,
     ) -> None:
         """The last response ends its message, which confirms the one that is enough responses older."""
+        trusted = plausible and not self.is_suspect(connection.key[0])
         connection.drop_known()
-        connection.provisional.append(_Provisional(confirmation, sent_at, answered_at, plausible))
+        connection.provisional.append(_Provisional(confirmation, sent_at, answered_at, trusted))
         connection.implausible += not plausible
         while len(connection.provisional) > max(_MIN_LATER_RESPONSES, connection.implausible):
             self._confirm(connection, connection.provisional.popleft())
 
     def _confirm(self, connection: PooledConnection, response: _Provisional) -> None:
         self.evidence.confirmed(connection.key[0], response.answered_at - response.sent_at)
-        connection.implausible -= not response.plausible
         response.confirmation.resolve(True)
 
     def give_back(self, connection: PooledConnection) -> None:
@@ -225,6 +230,9 @@
                 len(connection.provisional),
                 ", ".join(f"{count} {reason.value}" for reason, count in self.closed.items()) or "none",
             )
+        for silent in self._silent:
+            if silent.connection is connection:
+                silent.refute()
         self._policy.surplus_received(endpoint, now)
         self.on_surplus(endpoint, data)
 
@@ -289,7 +297,9 @@
             if connection.provisional:
                 if now < connection.silent_from or not self._check_idle(connection):
                     continue
-                self._silent.append(_Silent(connection, connection.take_provisional(), connection.silent_from))
+                self._silent.append(
+                    _Silent(connection, connection.take_provisional(), connection.silent_from, connection.implausible)
+                )
             if connection in self._retired:
                 self._remove_and_close(connection, CloseReason.RETIRED)
         self._silent = [silent for silent in self._silent if not self._judge(silent)]
@@ -300,14 +310,15 @@
         responses = [response for response in silent.responses if not response.confirmation.known]
         if not responses:
             return True
-        endpoint, plausible = silent.connection.key[0], all(response.plausible for response in responses)
+        endpoint, trusted = silent.connection.key[0], all(response.trusted for response in responses)
         first, last = responses[0], responses[-1]
-        verdict = self.evidence.judge(endpoint, first.sent_at, last.answered_at, silent.silent_from, plausible)
-        for response in responses:
-            if verdict is Verdict.CONFIRMED:
+        verdict = self.evidence.judge(endpoint, first.sent_at, last.answered_at, silent.silent_from, trusted)
+        if verdict is Verdict.CONFIRMED:
+            silent.connection.implausible -= silent.implausible
+            for response in responses:
                 self._confirm(silent.connection, response)
-            elif verdict is Verdict.REFUTED:
-                response.confirmation.resolve(False)
+        elif verdict is Verdict.REFUTED:
+            silent.refute()
         return verdict is not Verdict.OPEN
 
     def _confirm_all(self, connection: PooledConnection) -> None:
--- a/calicohitch/net/endpoints.py
+++ b/calicohitch/net/endpoints.py
@@ -291,8 +291,7 @@
         assert exchange.request
         confirmation = Confirmation()
         answered_at = connection.http.answered_at
-        trusted = plausible and not self._pool.is_suspect(exchange.key[0])
-        self._pool.add_provisional(connection, confirmation, exchange.request.sent_at, answered_at, trusted)
+        self._pool.add_provisional(connection, confirmation, exchange.request.sent_at, answered_at, plausible)
         if complete:
             self._keep(connection, still_wanted)
         else:
--- a/tests/orders/test_stray_bytes.py
+++ b/tests/orders/test_stray_bytes.py
@@ -211,6 +211,21 @@
 
         run_test(test)
 
+    def test_each_copy_that_may_be_left_over_takes_one_more_to_confirm_a_200(self) -> None:
+        """Three responses that came too soon may have shifted the later ones by three calls."""
+
+        async def test(world: Scripted) -> None:
+            link = await answered(world, OK, work_s=WORK_S)
+            await answered(world, OK, link=link, work_s=0.0)
+            confirmed = known(world)
+            for _ in range(2):
+                await answered(world, OK, link=link, work_s=0.0)
+            self.assertEqual(confirmed, [])
+            await answered(world, OK, link=link, work_s=2 * WORK_S)
+            self.assertEqual(confirmed, [True])
+
+        run_test(test)
+
     def test_a_refusal_soon_after_a_200_refutes_it(self) -> None:
         """The 200 may have been left over from an earlier call, and the refusal is the answer to this one."""
 
@@ -273,6 +288,21 @@
 
         self.assertEqual(self.judged(responds, work_s=0.0), [True])
 
+    def test_bytes_that_come_after_the_silence_refute_what_it_left_open(self) -> None:
+        async def run(world: Scripted) -> None:
+            link = await answered(world, OK, work_s=WORK_S)
+            await answered(world, OK, link=link, work_s=0.0, timeout_ms=50)
+            refuted = known(world)
+            await anyio.sleep(0.06)
+            world.endpoints._pool.confirm_silent()
+            self.assertEqual(refuted, [])
+            await link.send(REFUSED)
+            while not refuted:
+                await anyio.sleep(0.001)
+            self.assertEqual(refuted, [False])
+
+        run_test(run)
+
     def test_a_later_call_that_is_still_open_leaves_it_open(self) -> None:
         async def run(world: Scripted) -> None:
             link = await answered(world, OK)
