A connection that was silent before a call is in sync, so its response needs no other proof

Change: a call on a connection that carried none before, or whose earlier responses silence has confirmed since, cannot meet the copy of one of these; its response counts without comparison. Only on a connection that is followed at once is a response compared with the soonest confirmed one, and before any is confirmed none is called implausible. Behind such trusted responses silence lasts 2 s at most again, as a further check and not as the proof; behind others it lasts until the call's time is over, with answered calls of that time. A response that was a copy keeps the later ones of its connection doubtful after its own message was confirmed (`test_a_shift_outlasts_the_message_whose_response_was_a_copy` failed before).

--- a/calicohitch/core/response_evidence.py
+++ b/calicohitch/core/response_evidence.py
@@ -41,7 +41,7 @@
     open: list[OpenCall] = field(default_factory=list)
     unanswered_sent_at: float = -math.inf  # of the last call that ended without a response
     answered_sent_at: deque[float] = field(default_factory=_recent)  # of calls with a plausible response
-    shortest_s: float = math.inf  # from a request to its confirmed response
+    shortest_s: float | None = None  # from a request to its confirmed response
     used_at: float = -math.inf
 
 
@@ -59,17 +59,21 @@
         known.used_at = now
         return call
 
-    def call_answered(self, call: OpenCall, response_time_s: float, first_response_time_s: float) -> bool:
-        """Returns whether the response is plausible: no sooner than the soonest confirmed one, or, before there is one,
-        than the first on the same connection. Bytes that the endpoint wrote before it had the request come within one
-        round trip, so they are not."""
+    def call_answered(self, call: OpenCall, response_time_s: float) -> bool:
+        """Returns whether the response is plausible: no sooner than the soonest confirmed one. Bytes that the endpoint
+        wrote before it had the request come within one round trip, so they are not. Before any response of the endpoint
+        is confirmed, each is plausible."""
         known = self._close(call)
-        shortest_s = known.shortest_s if known.shortest_s < math.inf else first_response_time_s
-        plausible = response_time_s >= shortest_s
+        plausible = known.shortest_s is None or response_time_s >= known.shortest_s
         if plausible:
             known.answered_sent_at.append(call.sent_at)
         return plausible
 
+    def has_confirmed(self, endpoint: int) -> bool:
+        """Whether any response of the endpoint is confirmed, so that others can be compared with it."""
+        known = self._endpoints.get(endpoint)
+        return known is not None and known.shortest_s is not None
+
     def call_unanswered(self, call: OpenCall) -> None:
         """The call timed out, was given up, or its connection broke."""
         known = self._close(call)
@@ -83,7 +87,7 @@
     def confirmed(self, endpoint: int, response_time_s: float) -> None:
         """A response has proved to be the one to its call."""
         known = self._endpoints.setdefault(endpoint, _Endpoint())
-        known.shortest_s = min(known.shortest_s, response_time_s)
+        known.shortest_s = response_time_s if known.shortest_s is None else min(known.shortest_s, response_time_s)
 
     def judge(self, endpoint: int, sent_at: float, answered_at: float, silent_from: float, plausible: bool) -> Verdict:
         """On a response to a call that was sent at `sent_at`. An endpoint that hangs leaves the calls that were sent
--- a/calicohitch/net/connection_pool.py
+++ b/calicohitch/net/connection_pool.py
@@ -37,6 +37,9 @@
 # responses as were left over end their messages too, a message has ended whichever of them was its own. At least so
 # many, also if all came as late as their own may.
 _MIN_LATER_RESPONSES = 2
+# Behind a response on a connection that was in sync, or one that came no sooner than its own may: a copy would have
+# come before it. Behind others the silence lasts until the call's time is over.
+_MAX_SILENCE_S = 2.0
 _CHECK_INTERVAL_S = 0.1
 
 PoolKey = tuple[int, Address]
@@ -60,7 +63,7 @@
     confirmation: Confirmation
     sent_at: float
     answered_at: float
-    trusted: bool  # it is plausible (`ResponseEvidence.call_answered`) and its endpoint was not suspect
+    trusted: bool  # plausible (`ResponseEvidence.call_answered`) or on a connection in sync, and no suspect endpoint's
 
 
 @dataclass(eq=False, slots=True)
@@ -71,7 +74,6 @@
     http: ClientConnection
     key: PoolKey
     used: bool = False  # it has carried a call before the current one
-    first_response_time_s: float = 0.0
     idle_since: float = 0.0
     silent_from: float = 0.0
     implausible: int = 0  # responses that may have been left over, since silence last proved that none was
@@ -133,6 +135,11 @@
         connection = idle[-1] if idle else None
         return connection if connection and self._remove(connection) else None
 
+    def is_in_sync(self, connection: PooledConnection) -> bool:
+        """Whether it has carried no call, or silence has proved since that no response of its calls is left over."""
+        unproven = connection.provisional or connection.implausible
+        return not (unproven or any(silent.connection is connection for silent in self._silent))
+
     def add_provisional(
         self,
         connection: PooledConnection,
@@ -140,12 +147,18 @@
         sent_at: float,
         answered_at: float,
         plausible: bool,
+        in_sync: bool,
     ) -> None:
-        """The last response ends its message, which confirms the one that is enough responses older."""
-        trusted = plausible and not self.is_suspect(connection.key[0])
+        """The last response ends its message, which confirms the one that is enough responses older. `in_sync`: the
+        connection was so when the call was sent."""
+        may_be_left_over = not (plausible or in_sync)
+        trusted = not (may_be_left_over or self.is_suspect(connection.key[0]))
         connection.drop_known()
         connection.provisional.append(_Provisional(confirmation, sent_at, answered_at, trusted))
-        connection.implausible += not plausible
+        connection.implausible += may_be_left_over
+        is_proof = in_sync or self.evidence.has_confirmed(connection.key[0])
+        if trusted and is_proof and not connection.implausible:
+            connection.silent_from = min(connection.silent_from, answered_at + _MAX_SILENCE_S)
         while len(connection.provisional) > max(_MIN_LATER_RESPONSES, connection.implausible):
             self._confirm(connection, connection.provisional.popleft())
 
@@ -305,12 +318,13 @@
         self._silent = [silent for silent in self._silent if not self._judge(silent)]
 
     def _judge(self, silent: _Silent) -> bool:
-        """Judge the responses of one connection; False if it is not known yet what they are. The first that may be
-        another call's makes the later ones doubtful as well."""
+        """Judge the responses of one connection; False if it is not known yet what they are. One that may be another
+        call's makes the later ones doubtful as well."""
         responses = [response for response in silent.responses if not response.confirmation.known]
         if not responses:
             return True
-        endpoint, trusted = silent.connection.key[0], all(response.trusted for response in responses)
+        endpoint = silent.connection.key[0]
+        trusted = not silent.implausible and all(response.trusted for response in responses)
         first, last = responses[0], responses[-1]
         verdict = self.evidence.judge(endpoint, first.sent_at, last.answered_at, silent.silent_from, trusted)
         if verdict is Verdict.CONFIRMED:
--- a/calicohitch/net/endpoints.py
+++ b/calicohitch/net/endpoints.py
@@ -102,6 +102,7 @@
     response: Response | None = None
     failed_locally: bool = False
     request: OpenCall | None = None  # once it is being sent
+    in_sync: bool = False  # its connection, when the request was sent
     not_wanted: bool = False
     certain: bool = False  # the response is the call's own, and the call is over
     error: OSError | LocalConnectError | None = None
@@ -172,6 +173,7 @@
                 return
             if call.marks:
                 track_progress(call.marks, connection.http, connection.used, self._clock)
+            exchange.in_sync = self._pool.is_in_sync(connection)
             exchange.request = self._pool.evidence.call_sent(exchange.key[0], anyio.current_time())
             connection.silent_from = exchange.deadline
             remaining_ms = (
@@ -252,9 +254,7 @@
             evidence.call_unanswered(request)
             return False
         response_time_s = min(connection.http.answered_at, anyio.current_time()) - request.sent_at
-        if not connection.used:
-            connection.first_response_time_s = response_time_s
-        return evidence.call_answered(request, response_time_s, connection.first_response_time_s)
+        return evidence.call_answered(request, response_time_s)
 
     def _broken(self, connection: PooledConnection) -> Result:
         """The connection failed during the call, or its response was invalid."""
@@ -291,7 +291,9 @@
         assert exchange.request
         confirmation = Confirmation()
         answered_at = connection.http.answered_at
-        self._pool.add_provisional(connection, confirmation, exchange.request.sent_at, answered_at, plausible)
+        self._pool.add_provisional(
+            connection, confirmation, exchange.request.sent_at, answered_at, plausible, exchange.in_sync
+        )
         if complete:
             self._keep(connection, still_wanted)
         else:
--- a/calicohitch/service.py
+++ b/calicohitch/service.py
@@ -37,7 +37,7 @@
 _BYTES_PER_MB = 1_000_000  # the platform sets `disk_mb` in decimal megabytes
 _HANDOVER_TIMEOUT_S = 2.0  # for the attempts in progress, and again for the messages to replicate
 _RETRY_INTERVAL_S = 0.05  # after a temporary failure to read the journal or to listen
-_CONFIRMATION_TIMEOUT_S = 1.0  # of deliveries that are still provisional when the relay stops
+_CONFIRMATION_TIMEOUT_S = 2.2  # a little more than the silence that confirms most deliveries
 # The platform expects a new configuration to apply 4 s after SIGHUP.
 _RELOAD_RETRY_PAUSES_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.5)
 _REFUSAL_PERIOD_S = 0.5  # after SIGTERM new submissions still arrive for a moment, and are refused with a reply
