--- a/calicohitch/service.py
+++ b/calicohitch/service.py
@@ -193,6 +193,8 @@
     with anyio.move_on_after(_HANDOVER_TIMEOUT_S):
         while relay.release_copied():
             await anyio.sleep(0.02)
+    # Their notices wait for the holders of the replicas, which acknowledge nothing more after the hand-over.
+    await relay.confirm_deliveries(0.0)
     await failover.hand_over(_HANDOVER_TIMEOUT_S)
 
 
