--- a/tests/test_response_evidence.py
+++ b/tests/test_response_evidence.py
@@ -86,12 +86,10 @@
 
 @dataclass(frozen=True, slots=True)
 class _Model:
-    """An endpoint that takes `work_s` for a call, one way away, and answers nothing from `hangs_at` on. After a call at
-    0 it sends a copy of the answer, which is written `copy_after_s` behind it and only while no other call waits."""
+    """An endpoint that takes `work_s` for a call, one way away, and answers nothing from `hangs_at` on."""
 
     one_way_s: float
     work_s: float
-    copy_after_s: float
     hangs_at: float
 
     def response_time_s(self, sent_at: float) -> float | None:
@@ -115,7 +113,7 @@
         copy_after_s = copy_share * 2 * one_way_s  # later, the call would wait at the endpoint
         finished_at = sent_at + one_way_s + work_s
         hangs_at = sent_at + min(copy_after_s, hangs_after * (finished_at - sent_at))
-        model = _Model(one_way_s, work_s, copy_after_s, hangs_at)
+        model = _Model(one_way_s, work_s, hangs_at)
         evidence = ResponseEvidence()
         evidence.confirmed(ENDPOINT, 2 * one_way_s + work_s)
         plausible = evidence.call_answered(evidence.call_sent(ENDPOINT, sent_at), copy_after_s)
