The log tells the memory, what the process holds, and the longest turn of the loop

`limits.memory_mb` was never read. It is now (192 where settings have none), and a line `process.resources` gives the resident memory beside it, what is held (connections, bytes of unfinished requests, open messages, ends and notices not told, tasks, descriptors), the longest piece of work with its units, and by how much the loop ran a timer late: every 10 s in which something changed, and within 1 s after the memory grew by a sixteenth of its limit or a turn took 100 ms, since a process that is killed for its memory says nothing last.

--- a/calicohitch/config/platform.py
+++ b/calicohitch/config/platform.py
@@ -45,6 +45,7 @@
 
     sockets: int = 1024
     disk_mb: float = 3.0
+    memory_mb: float = 192.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -149,8 +150,10 @@
 def _limits(told: Any) -> Limits:
     if not isinstance(told, dict):
         raise ConfigError("limits must be an object")
-    sockets, disk_mb = told.get("sockets", Limits().sockets), told.get("disk_mb", Limits().disk_mb)
-    for name, value, least in (("sockets", sockets, 64), ("disk_mb", disk_mb, 0.5)):
+    defaults = Limits()
+    sockets, disk_mb = told.get("sockets", defaults.sockets), told.get("disk_mb", defaults.disk_mb)
+    memory_mb = told.get("memory_mb", defaults.memory_mb)
+    for name, value, least in (("sockets", sockets, 64), ("disk_mb", disk_mb, 0.5), ("memory_mb", memory_mb, 1)):
         if isinstance(value, bool) or not isinstance(value, int | float) or value < least:
             raise ConfigError(f"limits.{name} must be a number of at least {least}, not {value!r}")
-    return Limits(int(sockets), float(disk_mb))
+    return Limits(int(sockets), float(disk_mb), float(memory_mb))
--- a/calicohitch/intake/clients.py
+++ b/calicohitch/intake/clients.py
@@ -94,6 +94,8 @@
         self._deadline_added = ChangeNotifier()  # notified when a connection with a deadline begins to wait
         self._answering = 0
         self._keep_alive_policy = KeepAlivePolicy()
+        relay.resources.register("client_connections", lambda: self.sessions.count)
+        relay.resources.register("unfinished_request_bytes", self._unfinished_bytes)
 
     @property
     def answering(self) -> int:
@@ -105,6 +107,9 @@
             if session.data or session.scope
         )
 
+    def _unfinished_bytes(self) -> int:
+        return sum(len(session.data) for group in (self.sessions.fresh, self.sessions.begun) for session in group)
+
     async def run(self) -> None:
         self._readiness = Readiness()
         self._open_spare()
@@ -153,6 +158,7 @@
     def _process_turn(self, readable: list[int]) -> None:
         """Process what is readable: requests first, round-robin over the sources, then new connections."""
         listener, now, connecting = self._listener.fileno(), anyio.current_time(), False
+        started, accepted_before = self._relay.resources.start(), self.account.accepted
         self._busy = True
         for fd in readable:
             if fd == listener:
@@ -160,12 +166,15 @@
             elif (session := self._by_fd.get(fd)) and not session.queued:
                 session.queued = True
                 self._read_queue.put(session.source, session, now)
-        for session, since in self._read_queue.take(_MAX_READS_PER_TURN):
+        taken = self._read_queue.take(_MAX_READS_PER_TURN)
+        for session, since in taken:
             session.queued = False
             if not session.closed and not session.scope:
                 self._read_guarded(session, (now - since) * 1e3)
         if connecting:
             self._accept()
+        units = len(taken) + self.account.accepted - accepted_before
+        self._relay.resources.ended("reading and accepting clients", started, units)
 
     async def _measure_loop_delay(self) -> None:
         """Measure how late the event loop runs a timer: what was received waits at least as long."""
@@ -176,6 +185,7 @@
             await anyio.sleep(tick)
             now = anyio.current_time()
             self._load.measured(now * 1e3, (now - due) * 1e3)
+            self._relay.resources.delayed((now - due) * 1e3)
 
     async def _log_shed_summary(self) -> None:
         """Log at intervals which sources were shed, and why."""
--- a/calicohitch/net/relay.py
+++ b/calicohitch/net/relay.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import heapq
 import math
 from collections import deque
@@ -28,6 +29,8 @@
 from ..core.health_changes import HealthChanges
 from ..core.discovery_timeouts import DiscoveryTimeouts
 from ..core.stall_detector import StallDetector
+from ..core.process_memory import BYTES_PER_MB
+from ..core.resource_monitor import ResourceMonitor
 from ..core.protocols import Call, Replicator, Delivery, MessageEnd, EndKind, Refusal, Reply, Result, Submission
 from ..core.tasks import restart_on_failure
 from ..journal import Attempt, End, Entry, Journal, JournalFull
@@ -115,6 +118,7 @@
             tracer.why = self._engine.why_held
             # for the collector connection, reserved even if no collector is configured
             self.descriptors.acquire(DescriptorUse.TRACING)
+        self.resources = ResourceMonitor(config.limits.memory_mb * BYTES_PER_MB)
         self._open: dict[int, _OpenMessage] = {}
         self._by_id: dict[str, int] = {}
         self._events: deque[i.Event] = deque()
@@ -158,14 +162,25 @@
             replicator.attach(self)
             journal.copier = replicator.record
         self._peers: Peers | None = None
+        self._register_counters()
         if settings.may_tell and config.peer_listen:
             self._peers = Peers(config.peer_listen, config.peers, config.peers_all, self._peer_message_received)
 
+    def _register_counters(self) -> None:
+        self.resources.register("open_messages", lambda: len(self._open))
+        self.resources.register("pending_ends", lambda: len(self._pending_ends))
+        self.resources.register("pending_notices", lambda: len(self._notices))
+        self.resources.register("provisional_deliveries", lambda: len(self._provisional))
+        self.resources.register("remembered_calls", lambda: len(self._call_history))
+        self.resources.register("descriptors", lambda: self.descriptors.held.total())
+        self.resources.register("tasks", lambda: len(asyncio.all_tasks()))
+
     async def run(self) -> None:
         """Recover the messages that an earlier incarnation left open, then serve."""
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             tasks.start_soon(restart_on_failure, self._run_timers)
+            tasks.start_soon(restart_on_failure, self.resources.run)
             tasks.start_soon(restart_on_failure, self._save_state_periodically)
             tasks.start_soon(restart_on_failure, self._end_overdue)
             tasks.start_soon(restart_on_failure, self._write_pending)
@@ -382,10 +397,11 @@
         self._events.extend(events)
         if self._feeding:
             return
-        self._feeding = True
+        self._feeding, started, processed = True, self.resources.start(), 0
         try:
             while self._events:
                 batch = list(self._events)
+                processed += len(batch)
                 self._events.clear()
                 for action in self._decide(batch):
                     try:
@@ -396,6 +412,7 @@
                 self._tracer.look()
         finally:
             self._feeding = False
+            self.resources.ended("decisions and their actions", started, processed)
 
     def _decide(self, events: list[i.Event]) -> list[i.Action]:
         previous, remaining = self._engine.decided(), iter(events)
@@ -428,7 +445,7 @@
     def save_state(self) -> None:
         """Store the current platform state for the next incarnation."""
         if self._state_cache and self._journal.may_act():
-            known = self._engine.known()
+            started, known = self.resources.start(), self._engine.known()
             self._log_health_changes(known)
             self.changed_since_saved = not self._state_cache.save(
                 self._clock.now(),
@@ -438,6 +455,7 @@
                 self._discovery.version,
                 self._storable,
             )
+            self.resources.ended("storing the state", started, len(known.routes))
 
     def _log_health_changes(self, known: i.RestoredState) -> None:
         """Log which destinations began to fail or to serve, and when each may be called next."""
