A client's request costs bounded memory and work before it is complete

What callers saw: beside 900 clients that sent heads of 15 KB of five-byte fields a relay took 311 to 376 MB of 192 and a polite client got 10 of 60 answers; beside 900 that sent chunks of one byte, 3 of 60.

Cause: an uncommon or long request got a task in which h11 parsed it as its bytes came, outside the queue that is fair between sources. A parsed field took a hundred bytes, fields and chunks were not limited (h11 limits an incomplete head alone), a request in pieces was parsed anew with each piece, and the listener stood in the line of the readable connections.

Change: `RequestReader` assembles a request without I/O, looks at each byte once, and parses nothing before the head is complete and within 16 KiB and 100 fields (431); `ServerExchange` gives h11 a body in slices, a limited number of events at a time, and refuses bodies in very small chunks (400). All reading is done in turns of three steps of 5 ms: requests that had no turn yet, new connections, requests that had one. A connection that waits for a further turn is not polled. What lingers behind an error is the first to be shed; a request that was begun is shed with 503 and Retry-After.

Tests changed: the one of a close behind the answer to an uncommon request patched the method that wrote such answers; it now makes the same order at the function that writes them. The one of a connection closed in the middle of a chunked request waits for the reader where it waited for the task.

--- a/calicohitch/intake/clients.py
+++ b/calicohitch/intake/clients.py
@@ -1,8 +1,11 @@
 """The HTTP server that clients submit messages to.
 
 Idle connections are registered with the event loop and have neither a task nor a parser, whatever their number. A
-readable connection is read without waiting, and a common request (see `head`) is answered directly. Only an uncommon
-request, or one whose response the kernel does not take whole, gets a task; an uncommon request is parsed by h11.
+readable connection is read without waiting, and its request is parsed as far as it has come (`request_reader`). Only a
+request whose response has to wait, or that the kernel does not take whole, gets a task.
+
+All reading is done in turns of bounded length. Within a turn connections whose request is new come before those whose
+request had a turn already.
 """
 
 from __future__ import annotations
@@ -12,23 +15,19 @@
 import os
 import random
 import socket
+import time
 from contextlib import suppress
 
 import anyio
-import h11
 from anyio.abc import TaskGroup
 from loguru import logger
 
 from ..core.protocols import Refusal, Submission
-from ..net.head import Look
 from ..core.system_errors import OUT_OF_DESCRIPTORS, RETRY_PAUSE_S, Retry, Step, trouble
 from ..core.tasks import restart_on_failure
 from ..net.http import (
-    Ambiguous,
-    BodyTooLarge,
     Link,
     Request,
-    ServerConnection,
     close_quietly,
     hang_up,
     has_ended,
@@ -44,8 +43,9 @@
 from .admission.queue import FairQueue
 from .admission.settings import AdmissionSettings
 from .admission.shares import Shares, Verdict
-from .head import Common, answer, read
+from .head import answer
 from .readiness import Readiness
+from .request_reader import Complete, RequestReader, RequestRejected
 from .sessions import ClientSession, SessionTable
 from .submission import ACCEPTED, BadRequest, SubmissionAnswer, read_submission, refusal
 
@@ -55,12 +55,15 @@
 _DESCRIPTOR_SHORTAGE_S = 0.1  # a shortage in the whole system that lasts so long is not momentary
 _RESPONSE_TIMEOUT_S = 5.0
 _LINGER_TIMEOUT_S = 0.5
+_LINGER_BYTES = 1 << 20  # that are read and discarded behind a response to a request that was not read to its end
 _DEADLINE_CHECK_INTERVAL_S = 0.2  # at most, between two checks for overdue connections
 _SHUTDOWN_GRACE_S = 0.2  # for clients that connected before the shutdown to send a request
 _SHUTDOWN_ACCEPT_ROUNDS = 64  # calls of _accept at the shutdown
-_MAX_ACCEPTS_PER_TURN = 16  # new connections
+_MAX_ACCEPTS_PER_TURN = 64  # new connections
 _MAX_READS_PER_TURN = 16  # connections that are read before calls and timers run
-_MAX_EVENTS_PER_TURN = 64  # readable sockets that are put into the fair queue
+_MAX_STEP_S = 0.005  # of a turn's three: reading new requests, accepting, reading on
+_MAX_EVENTS_PER_TURN = 64  # readable sockets that are put into the queue
+_MAX_OVERDUE_PER_TURN = 16  # connections whose time is up
 _BUSY_TICK_INTERVAL_S, _IDLE_TICK_INTERVAL_S = 0.05, 0.5  # between two measurements of the loop's delay
 _CAPACITY_RESPONSE = answer(503, [(b"Retry-After", b"1")], b"no room for another connection", close=True)
 
@@ -83,7 +86,8 @@
         self.account = Account()
         self._load = Load(self._settings.load, seed)
         self._random = random.Random(seed + 1)
-        self._read_queue: FairQueue[ClientSession] = FairQueue()
+        self._new_requests: FairQueue[ClientSession] = FairQueue()
+        self._continued_requests: FairQueue[ClientSession] = FairQueue()  # these had a turn already
         self._busy = False  # something was received since the loop's delay was last measured
         self._spare_descriptor = -1  # held in reserve, to refuse a client when no other descriptor is free
         self._by_fd: dict[int, ClientSession] = {}
@@ -104,11 +108,12 @@
             1
             for group in (self.sessions.fresh, self.sessions.begun)
             for session in group
-            if session.data or session.scope
+            if session.reader or session.scope
         )
 
     def _unfinished_bytes(self) -> int:
-        return sum(len(session.data) for group in (self.sessions.fresh, self.sessions.begun) for session in group)
+        groups = (self.sessions.fresh, self.sessions.begun)
+        return sum(session.reader.held_bytes for group in groups for session in group if session.reader)
 
     async def run(self) -> None:
         self._readiness = Readiness()
@@ -123,7 +128,7 @@
                 await restart_on_failure(self._take_turns)
         finally:
             self._listen(False)
-            for session in list(self._by_fd.values()):
+            for session in self.sessions.all():
                 self._unwatch(session)
                 close_quietly(session.sock)
             self._close_spare()
@@ -131,13 +136,12 @@
     async def _take_turns(self) -> None:
         assert self._readiness
         while True:
-            if len(self._read_queue):
+            if len(self._new_requests) or len(self._continued_requests):
                 await anyio.sleep(0)  # lets calls and timers run
             else:
                 await self._readiness.wait()
-            self._process_turn(
-                self._readiness.take(_MAX_EVENTS_PER_TURN) if len(self._read_queue) < _MAX_EVENTS_PER_TURN else []
-            )
+            is_connecting = self._readiness.take_one(self._listener)
+            self._process_turn(self._readiness.take(_MAX_EVENTS_PER_TURN), is_connecting)
 
     def _listen(self, on: bool) -> None:
         """Start or stop watching the listener; while it is not watched, new connections wait in the backlog."""
@@ -155,27 +159,50 @@
             logger.warning("cannot watch the listener for new connections: {}", err)
             self._pause_accepting()
 
-    def _process_turn(self, readable: list[int]) -> None:
-        """Process what is readable: requests first, round-robin over the sources, then new connections."""
-        listener, now, connecting = self._listener.fileno(), anyio.current_time(), False
+    def _process_turn(self, readable: list[int], is_connecting: bool) -> None:
+        """Process what is readable: new requests first, then new connections, then requests that had a turn already.
+        Each step ends after its share of the turn's time; what is left has the next turn."""
+        now = anyio.current_time()
         started, accepted_before = self._relay.resources.start(), self.account.accepted
         self._busy = True
         for fd in readable:
-            if fd == listener:
-                connecting = True
-            elif (session := self._by_fd.get(fd)) and not session.queued:
-                session.queued = True
-                self._read_queue.put(session.source, session, now)
-        taken = self._read_queue.take(_MAX_READS_PER_TURN)
-        for session, since in taken:
-            session.queued = False
-            if not session.closed and not session.scope:
-                self._read_guarded(session, (now - since) * 1e3)
-        if connecting:
+            if session := self._by_fd.get(fd):
+                self._put_into_queue(session, now)
+        reads = self._read_some(self._new_requests, _MAX_READS_PER_TURN, now)
+        if is_connecting:
             self._accept()
-        units = len(taken) + self.account.accepted - accepted_before
+        reads += self._read_some(self._continued_requests, _MAX_READS_PER_TURN, now)
+        units = reads + self.account.accepted - accepted_before
         self._relay.resources.ended("reading and accepting clients", started, units)
 
+    def _read_some(self, queue: FairQueue[ClientSession], limit: int, now: float) -> int:
+        """Read connections in their turns; returns how many."""
+        ends_at, reads = time.perf_counter() + _MAX_STEP_S, 0
+        while reads < limit and (taken := queue.take(1)):
+            for session, since in taken:
+                session.queued = False
+                if session.closed or session.scope:
+                    continue
+                reads += 1
+                self._read_guarded(session, (now - since) * 1e3)
+                if not (session.closed or session.scope or session.queued or session.watched):
+                    self._watch(session)
+            if time.perf_counter() > ends_at:
+                break
+        return reads
+
+    def _put_into_queue(self, session: ClientSession, now: float) -> None:
+        """Let a readable connection wait for its turn. One that had a turn already is not watched meanwhile: its wait
+        may be long, and the poll would report it each time."""
+        if session.queued:
+            return
+        session.queued = True
+        if session.reader or session.discardable:
+            self._unwatch(session)
+            self._continued_requests.put(session.source, session, now)
+        else:
+            self._new_requests.put(session.source, session, now)
+
     async def _measure_loop_delay(self) -> None:
         """Measure how late the event loop runs a timer: what was received waits at least as long."""
         while True:
@@ -213,7 +240,10 @@
 
     def _accept(self) -> bool:
         """Accept at most _MAX_ACCEPTS_PER_TURN connections; returns whether more may be waiting."""
+        ends_at = time.perf_counter() + _MAX_STEP_S
         for _ in range(_MAX_ACCEPTS_PER_TURN):
+            if time.perf_counter() > ends_at:
+                break
             if self.sessions.count >= self._relay.max_clients and not self._shed_one():
                 self._pause_accepting()
                 return False
@@ -305,7 +335,7 @@
         self.sessions.count += 1
         self.sessions.fresh[session] = None
         self._read_guarded(session)  # most clients have sent their request by now
-        if not session.closed and not session.scope:
+        if not (session.closed or session.scope or session.queued):
             self._watch(session)
 
     def _watch(self, session: ClientSession) -> None:
@@ -318,21 +348,24 @@
             self._tasks.start_soon(self._watch_later, session)
             return
         self._by_fd[session.sock.fileno()] = session
+        session.watched = True
 
     async def _watch_later(self, session: ClientSession) -> None:
         await anyio.sleep(RETRY_PAUSE_S)
-        if not session.closed and not session.scope and session.sock.fileno() not in self._by_fd:
+        if not (session.closed or session.scope or session.queued or session.watched):
             self._watch(session)
 
     def _unwatch(self, session: ClientSession) -> None:
         """Stop watching the socket, which stays open."""
-        if self._by_fd.pop(session.sock.fileno(), None) and self._readiness:
+        if session.watched and self._readiness:
+            session.watched = False
+            del self._by_fd[session.sock.fileno()]
             self._readiness.unregister(session.sock)
 
     def _close(self, session: ClientSession, answered: bool = False) -> None:
         """`answered`: a response was written last and has to arrive before the connection is closed."""
         if not session.closed:
-            session.closed = True
+            session.closed, session.reader = True, None
             self.sessions.count -= 1
             self.shares.leave(session.source)
             self._relay.descriptors.release(DescriptorUse.CLIENTS)
@@ -354,14 +387,19 @@
         session = self.sessions.to_shed(now, self.shares.weight, lambda source: self.shares.known(source, now * 1e3))
         if session:
             cause = (
-                "began a request and did not end it"
-                if session.data or session.scope
+                "answered already"
+                if session.discardable
+                else "began a request and did not end it"
+                if session.reader or session.scope
                 else "said nothing"
                 if session.first
                 else "idle between requests"
             )
             self.account.shed(f"made room: {cause}", session.source)
-            self._close(session)
+            if session.reader:
+                with suppress(OSError):
+                    send_at_once(session.sock, _CAPACITY_RESPONSE)
+            self._close(session, answered=session.reader is not None)
         return session is not None
 
     def close_kept(self) -> None:
@@ -384,7 +422,7 @@
         deadline = anyio.current_time() + _SHUTDOWN_GRACE_S
         while (self.sessions.count or self._answering) and anyio.current_time() < deadline:
             await anyio.sleep(0.01)
-        for session in list(self._by_fd.values()):
+        for session in self.sessions.all():
             if session.is_unread():
                 self._read_guarded(session)
         while self._answering and anyio.current_time() < deadline + _LINGER_TIMEOUT_S:
@@ -397,52 +435,117 @@
                 await self._deadline_added.wait()
                 continue
             await anyio.sleep(min(max(due - anyio.current_time(), 0.02), _DEADLINE_CHECK_INTERVAL_S))
-            for session in self.sessions.due(anyio.current_time()):
-                if not session.scope and session.is_unread():  # the request arrived in time and was not read yet
-                    self._read_guarded(session)
-                    if session.closed or session.scope or session.deadline > anyio.current_time():
-                        continue
-                if session.first or session.data or session.scope:
-                    self.account.shed("out of time without a whole request", session.source)
-                if session.scope:
-                    self.sessions.remove(session)  # its task has the same deadline, and answers 408
-                elif session.data:
-                    self._start_task(session, late=True)
-                else:
-                    self._close(session)
+            overdue = self.sessions.due(anyio.current_time())
+            for start in range(0, len(overdue), _MAX_OVERDUE_PER_TURN):
+                for session in overdue[start : start + _MAX_OVERDUE_PER_TURN]:
+                    if not session.closed:
+                        self._end_overdue(session)
+                await anyio.sleep(0)
+
+    def _end_overdue(self, session: ClientSession) -> None:
+        """The time of this connection is up; another task may have used it since that was found."""
+        if session.deadline > anyio.current_time():
+            return
+        if session.discardable:
+            self._close(session)
+            return
+        if not session.scope and session.is_unread():  # the request arrived in time and was not read yet
+            self._read_guarded(session)
+            if session.closed or session.scope or session.deadline > anyio.current_time():
+                return
+        if session.scope:
+            self.sessions.remove(session)  # its task has a time limit of its own
+            return
+        if session.first or session.reader:
+            self.account.shed("out of time without a whole request", session.source)
+        if session.reader:
+            self._reject(session, 408, "the request took too long")
+        else:
+            self._close(session)
 
-    # Common requests.
+    # Requests.
 
     def _read_request(self, session: ClientSession, waited_ms: float) -> None:
-        try:
-            data = receive_at_once(session.sock)
-        except OSError:
-            data = b""
-        if data is None:
-            return
-        if not data:
-            if session.data:
-                self._start_task(session, ended=True)
-            else:
+        if session.reader is None or not session.reader.has_work:
+            try:
+                data = receive_at_once(session.sock)
+            except OSError:
+                data = b""
+            if data is None:
+                return
+            if session.discardable:
+                self._discard(session, data)
+                return
+            if not data and session.reader is None:
                 self._close(session)
+                return
+            try:
+                self._receive(session, data)
+            except RequestRejected as err:
+                self._reject(session, err.status, str(err))
+                return
+        self._parse_request(session, waited_ms)
+
+    def _receive(self, session: ClientSession, data: bytes) -> None:
+        if session.reader is None:
+            session.reader = RequestReader()
+            if not session.first:  # a later request begins
+                if session.message_accepted:
+                    self._keep_alive_policy.was_used_again()
+                self.sessions.remove(session)
+                session.deadline = anyio.current_time() + _REQUEST_TIMEOUT_S
+                self.sessions.begun[session] = None
+        session.reader.receive(data)
+
+    def _parse_request(self, session: ClientSession, waited_ms: float) -> None:
+        reader = session.reader
+        assert reader
+        try:
+            parsed = reader.poll()
+        except RequestRejected as err:
+            self._reject(session, err.status, str(err))
             return
-        if not session.data and not session.first:  # a later request begins
-            if session.message_accepted:
-                self._keep_alive_policy.was_used_again()
+        if parsed is not None:
             self.sessions.remove(session)
-            session.deadline = anyio.current_time() + _REQUEST_TIMEOUT_S
-        session.data += data
-        parsed = read(session.data)
-        if isinstance(parsed, Common):
-            self.sessions.remove(session)
-            session.data = b""
+            session.reader = None
             self._respond_now(session, parsed, waited_ms)
-        elif parsed is Look.UNCOMMON:
-            self._start_task(session)
-        elif not session.first:
-            self.sessions.begun[session] = None
+        elif reader.has_work:
+            self._put_into_queue(session, anyio.current_time())
+        elif reader.awaits_continue:
+            self._send_interim_response(session, reader)
+
+    def _send_interim_response(self, session: ClientSession, reader: RequestReader) -> None:
+        data = reader.interim_response()
+        try:
+            sent = send_at_once(session.sock, data)
+        except OSError:
+            sent = -1
+        if sent != len(data):  # the client reads nothing, or has left
+            self._close(session)
+
+    def _reject(self, session: ClientSession, status: int, text: str) -> None:
+        """Answer a request that is not read to its end. The connection is closed once the client has ended its sending,
+        since a close with data unread would reset it and the response would be lost."""
+        self.account.shed(f"answered {status}: {text}", session.source)
+        session.reader = None
+        self.sessions.remove(session)
+        try:
+            send_at_once(session.sock, answer(status, [], text.encode(), close=True))
+            session.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self._close(session)
+            return
+        session.discardable, session.deadline = _LINGER_BYTES, anyio.current_time() + _LINGER_TIMEOUT_S
+        self.sessions.lingering[session] = None
+        self._deadline_added.notify()
+
+    def _discard(self, session: ClientSession, data: bytes) -> None:
+        session.discardable -= len(data)
+        if not data or session.discardable <= 0:
+            session.discardable = 0
+            self._close(session)
 
-    def _respond_now(self, session: ClientSession, parsed: Common, waited_ms: float) -> None:
+    def _respond_now(self, session: ClientSession, parsed: Complete, waited_ms: float) -> None:
         response, number, submission = self._decide(session, parsed.request, waited_ms)
         session.message_accepted = number is not None
         if number is not None and submission and self._relay.awaits_replication(number):
@@ -450,10 +553,10 @@
             self._unwatch(session)
             assert self._tasks
             session.scope = anyio.CancelScope()
-            self._tasks.start_soon(self._respond_after_replication, session, number, submission, parsed.close)
+            self._tasks.start_soon(self._respond_after_replication, session, number, submission, parsed)
             return
         close = response.close or parsed.close or not self._keep_alive(number)
-        data = answer(response.status, response.headers, response.body, close)
+        data = parsed.render(response, close)
         try:
             sent = send_at_once(session.sock, data)
         except OSError:
@@ -520,20 +623,20 @@
         self.shares.message_accepted(session.source, now)
         return ACCEPTED, number, submission
 
-    # Requests that need a task.
+    # Responses that need a task.
 
     async def _respond_after_replication(
-        self, session: ClientSession, number: int, submission: Submission, close: bool
+        self, session: ClientSession, number: int, submission: Submission, parsed: Complete
     ) -> None:
         """Answer that a message is accepted once other relays hold replicas of it. Without them in time no response is
         sent: some relays may hold a replica, and a refusal would promise that none does."""
         sent = False
-        close = close or not self._keep_alive(number)
+        close = parsed.close or not self._keep_alive(number)
         try:
             assert session.scope
             with session.scope, anyio.move_on_after(_RESPONSE_TIMEOUT_S):
                 if await self._relay.replicated(number):
-                    await Link(session.sock).send(answer(ACCEPTED.status, ACCEPTED.headers, ACCEPTED.body, close))
+                    await Link(session.sock).send(parsed.render(ACCEPTED, close))
                     sent = True
                 else:
                     self.account.shed("no copy in time", session.source)
@@ -585,80 +688,3 @@
             hang_up(session.sock)  # _close leaves the socket to the task
         else:
             self._close(session, answered=True)
-
-    def _start_task(self, session: ClientSession, late: bool = False, ended: bool = False) -> None:
-        """Pass an uncommon or incomplete request to a task, which parses it by h11."""
-        assert self._tasks
-        self._unwatch(session)
-        session.scope = anyio.CancelScope()
-        if late or ended:
-            self.sessions.remove(session)
-        elif not session.first:
-            self.sessions.begun[session] = None
-        self._tasks.start_soon(self._serve, session, late, ended)
-
-    async def _serve(self, session: ClientSession, late: bool, ended: bool) -> None:
-        keep = False
-        connection = ServerConnection(Link(session.sock))
-        data, session.data = session.data, b""
-        try:
-            connection.feed(data)
-            if ended:
-                connection.feed(b"")
-            assert session.scope
-            with session.scope:
-                keep = await self._serve_request(session, connection, late)
-        except (OSError, h11.ProtocolError) as err:
-            logger.debug("client connection ended: {}", err)
-        except Exception:
-            logger.exception("a client connection broke off")
-        finally:
-            self.sessions.remove(session)
-            self._end_task(session, keep)
-
-    async def _serve_request(self, session: ClientSession, connection: ServerConnection, late: bool) -> bool:
-        """Answer one request; returns False when the connection is to be closed."""
-        try:
-            if late:
-                raise TimeoutError
-            with anyio.fail_after(session.deadline - anyio.current_time()):
-                request = await connection.request()
-        except h11.RemoteProtocolError as err:
-            return await self._reject(connection, err.error_status_hint, "the request cannot be read")
-        except Ambiguous as err:
-            return await self._reject(connection, 400, str(err))
-        except BodyTooLarge:
-            return await self._reject(connection, 413, "a body holds 64 KiB at most")
-        except TimeoutError:
-            return await self._reject(connection, 408, "the request took too long")
-        if request is None:
-            return False
-        self.sessions.remove(session)
-        self._answering += 1
-        response, number, submission = self._decide(session, request)
-        session.message_accepted = number is not None
-        sent_before = connection.handed
-        try:
-            if number is not None and not await self._relay.replicated(number):
-                self.account.shed("no copy in time", session.source)
-                raise ConnectionAbortedError("no copy in time")
-            with anyio.fail_after(_RESPONSE_TIMEOUT_S):
-                await connection.respond(response.status, response.headers, response.body, response.close)
-        except BaseException:
-            if number is not None and submission and connection.handed > sent_before:
-                self._relay.accept(number, submission)  # a part of the 202 was sent, and the client may have read it
-            elif number is not None:
-                self._relay.withdraw(number)
-            raise
-        finally:
-            self._answering -= 1
-        if number is not None and submission:
-            self._relay.accept(number, submission)
-        return not response.close and connection.next() and not self._relay.stopping
-
-    async def _reject(self, connection: ServerConnection, status: int, text: str) -> bool:
-        """Answer a request that was not read to its end, and close the connection."""
-        with anyio.move_on_after(_LINGER_TIMEOUT_S), suppress(OSError):
-            await connection.respond(status, body=text.encode(), close=True)
-            await connection.linger()
-        return False
--- a/calicohitch/intake/head.py
+++ b/calicohitch/intake/head.py
@@ -6,8 +6,9 @@
 
 from dataclasses import dataclass
 
-from ..net.head import Look, pattern, read_body, read_head
+from ..net.head import Head, Look, content_length, pattern, read_body, read_head
 from ..net.http import MAX_BODY, Request
+from .submission import SubmissionAnswer
 
 _HEAD = pattern(rb"(GET|POST) (/[!-~]*) HTTP/1\.1")
 _LEFT_TO_H11 = frozenset({b"transfer-encoding", b"expect", b"upgrade", b"trailer", b"te"})
@@ -20,9 +21,36 @@
     request: Request
     close: bool
 
+    def render(self, response: SubmissionAnswer, close: bool) -> bytes:
+        """The bytes of the response. `close`: the connection is closed after it."""
+        return answer(response.status, response.headers, response.body, close)
 
-def read(data: bytes) -> Common | Look:
-    """The one request that `data` holds, or why it cannot be read here: incomplete or uncommon."""
+
+@dataclass(frozen=True, slots=True)
+class CommonHead:
+    """The complete head of a request; `length`: the bytes of its body; `close`: as in `Common`."""
+
+    head: Head
+    length: int
+    close: bool
+
+    @property
+    def message_size(self) -> int:
+        return self.head.size + self.length
+
+    def with_body(self, data: bytes) -> Common | Look:
+        """The one request that `data` holds, which begins with this head."""
+        body = read_body(data, self.head, self.length)
+        if isinstance(body, Look):
+            return body
+        method, target = self.head.first
+        path, _, query = target.decode("ascii").partition("?")
+        request = Request(method.decode(), path, self.head.headers, body, query, frozenset(), self.head.raw)
+        return Common(request, self.close)
+
+
+def read_common_head(data: bytes) -> CommonHead | Look:
+    """The head at the start of `data`, or why it cannot be read here: incomplete or uncommon."""
     head = read_head(data, _HEAD, data[:1] in (b"G", b"P"))
     if isinstance(head, Look):
         return head
@@ -30,13 +58,14 @@
     connection = headers.get(b"connection", b"keep-alive").lower()
     if b"host" not in headers or not _LEFT_TO_H11.isdisjoint(headers) or connection not in (b"close", b"keep-alive"):
         return Look.UNCOMMON
-    body = read_body(data, head, headers.get(b"content-length", b"0"), MAX_BODY)
-    if isinstance(body, Look):
-        return body
-    method, target = head.first
-    path, _, query = target.decode("ascii").partition("?")
-    request = Request(method.decode(), path, headers, body, query, frozenset(), head.raw)
-    return Common(request, connection == b"close")
+    length = content_length(headers.get(b"content-length", b"0"), MAX_BODY)
+    return Look.UNCOMMON if length is None else CommonHead(head, length, connection == b"close")
+
+
+def read(data: bytes) -> Common | Look:
+    """The one request that `data` holds, or why it cannot be read here: incomplete or uncommon."""
+    head = read_common_head(data)
+    return head if isinstance(head, Look) else head.with_body(data)
 
 
 _PHRASES = {
@@ -45,12 +74,15 @@
     400: b"Bad Request",
     404: b"Not Found",
     405: b"Method Not Allowed",
+    408: b"Request Timeout",
+    413: b"Request Entity Too Large",
+    431: b"Request Header Fields Too Large",
     503: b"Service Unavailable",
 }
 
 
 def answer(status: int, headers: list[tuple[bytes, bytes]], body: bytes, close: bool) -> bytes:
-    """The bytes of a response, as `ServerConnection.respond` writes them."""
+    """The bytes of a response, as `ServerExchange.response` gives them."""
     lines = [b"HTTP/1.1 %d %s\r\n" % (status, _PHRASES[status])]
     lines += [b"%s: %s\r\n" % item for item in headers]
     lines.append(b"Content-Length: %d\r\n" % len(body))
--- a/calicohitch/intake/readiness.py
+++ b/calicohitch/intake/readiness.py
@@ -37,6 +37,14 @@
         if not self._readable:
             await self._changes.wait()
 
+    def take_one(self, sock: socket.socket) -> bool:
+        """Whether this socket is readable; takes it if so."""
+        fd = sock.fileno()
+        if fd not in self._readable:
+            return False
+        del self._readable[fd]
+        return True
+
     def take(self, limit: int) -> list[int]:
         """Take up to `limit` readable descriptors, in the order in which they became readable."""
         taken = list(self._readable)[:limit]
--- a/calicohitch/intake/sessions.py
+++ b/calicohitch/intake/sessions.py
@@ -10,9 +10,11 @@
 import anyio
 
 from ..net.http import has_ended, is_quiet
+from .request_reader import RequestReader
 
 _MAX_COMPARED = 32  # connections that are compared when one is shed
 SHED_GRACE_S = 0.3  # from the connect until the connection may be shed
+_UNFINISHED_GRACE_S = 0.1  # the same for one whose request was read in part, where nobody else can be shed
 
 
 @dataclass(eq=False, slots=True)
@@ -23,10 +25,12 @@
     source: str
     since: float
     first: bool = True  # no request on it was answered yet
-    queued: bool = False  # readable, and in the queue to be read
+    queued: bool = False  # readable, and in a queue to be read
+    watched: bool = False  # registered with the event loop
     message_accepted: bool = False  # its last request submitted a message that was accepted
-    data: bytes = b""  # the part of a request that was received
+    reader: RequestReader | None = None  # of a request that has begun
     deadline: float = 0.0  # for the request that has begun, or for the next to begin
+    discardable: int = 0  # bytes that are still read and discarded before the connection is closed
     scope: anyio.CancelScope | None = None  # of the task that serves it, if there is one
     closed: bool = False
 
@@ -36,7 +40,7 @@
 
     def is_silent(self) -> bool:
         """Whether no response is pending: no part of a request was received."""
-        return not (self.data or self.scope) and (is_quiet(self.sock) or has_ended(self.sock))
+        return not (self.reader or self.scope) and (is_quiet(self.sock) or has_ended(self.sock))
 
 
 @dataclass(slots=True)
@@ -47,16 +51,24 @@
     fresh: dict[ClientSession, None] = field(default_factory=dict)  # no complete request so far
     kept: dict[ClientSession, None] = field(default_factory=dict)  # between requests
     begun: dict[ClientSession, None] = field(default_factory=dict)  # a later request has begun
+    lingering: dict[ClientSession, None] = field(default_factory=dict)  # answered, what still comes is discarded
     count: int = 0
 
     def remove(self, session: ClientSession) -> None:
-        for group in (self.fresh, self.kept, self.begun):
+        for group in self._groups():
             group.pop(session, None)
 
+    def all(self) -> list[ClientSession]:
+        """All connections but those that a task is answering."""
+        return [session for group in self._groups() for session in group]
+
+    def _groups(self) -> tuple[dict[ClientSession, None], ...]:
+        return self.fresh, self.kept, self.begun, self.lingering
+
     def due(self, now: float) -> list[ClientSession]:
         """The connections whose deadline has passed."""
         overdue = []
-        for group in (self.fresh, self.kept, self.begun):
+        for group in self._groups():
             for session in group:
                 if session.deadline > now:
                     break
@@ -64,16 +76,19 @@
         return overdue
 
     def next_due(self) -> float | None:
-        return min((next(iter(group)).deadline for group in (self.fresh, self.kept, self.begun) if group), default=None)
+        return min((next(iter(group)).deadline for group in self._groups() if group), default=None)
 
     def to_shed(self, now: float, weight: Callable[[str], float], known: Callable[[str], bool]) -> ClientSession | None:
-        """The connection to shed. First choice: one without a complete request, past its grace period and with nothing
-        unread, from the source with the greatest weight, and of those the oldest. Else the one that is longest between
-        requests, whose client can reconnect without loss; else any silent one. In the last two cases, those of unknown
-        sources come first."""
+        """The connection to shed. First choice: one that is answered and lingers. Then one without a complete request,
+        past its grace period, from the source with the greatest weight, and of those the oldest; not one of which
+        nothing was read yet, if it has sent something. Else the one that is longest between requests, whose client can
+        reconnect without loss; else any silent one. In these two cases, those of unknown sources come first. Last, one
+        of which something was read, past a shorter grace period."""
+        if self.lingering:
+            return next(iter(self.lingering))
         late = [session for session in islice(self.fresh, _MAX_COMPARED) if now - session.since >= SHED_GRACE_S]
         for session in sorted(late, key=lambda session: weight(session.source), reverse=True):
-            if session.scope or not session.is_unread():
+            if session.scope or session.reader or not session.is_unread():
                 return session
         unknown = (
             session
@@ -82,6 +97,10 @@
             if not known(session.source)
         )
         all_sessions = (session for group in (self.kept, self.fresh) for session in group)
-        return next(
-            (session for candidates in (unknown, all_sessions) for session in candidates if session.is_silent()), None
+        unfinished = (
+            session
+            for session in islice(self.fresh, _MAX_COMPARED)
+            if session.reader and now - session.since >= _UNFINISHED_GRACE_S
         )
+        silent = (session for candidates in (unknown, all_sessions) for session in candidates if session.is_silent())
+        return next(silent, None) or next(unfinished, None)
--- a/calicohitch/net/answer.py
+++ b/calicohitch/net/answer.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from .head import Look, pattern, read_body, read_head
+from .head import Look, content_length, pattern, read_body, read_head
 
 _HEAD = pattern(rb"HTTP/1\.1 ([2-5][0-9][0-9])(?: [\t -~]*)?")
 _STATUSES_WITHOUT_BODY = frozenset({b"204", b"304"})
@@ -20,5 +20,8 @@
         or headers.get(b"connection", b"keep-alive") != b"keep-alive"
     ):
         return Look.UNCOMMON
-    body = read_body(data, head, headers.get(b"content-length", b""), max_body)
+    length = content_length(headers.get(b"content-length", b""), max_body)
+    if length is None:
+        return Look.UNCOMMON
+    body = read_body(data, head, length)
     return body if isinstance(body, Look) else (int(status), headers, body)
--- a/calicohitch/net/head.py
+++ b/calicohitch/net/head.py
@@ -60,11 +60,14 @@
     return Head(tuple(first), raw, headers, end + 4) if len(headers) == len(raw) else Look.UNCOMMON
 
 
-def read_body(data: bytes, head: Head, length: bytes, max_body: int) -> bytes | Look:
+def content_length(value: bytes, max_body: int) -> int | None:
+    """The value of a Content-Length; None if it is uncommon or over `max_body`."""
+    return int(value) if _CONTENT_LENGTH.fullmatch(value) and int(value) <= max_body else None
+
+
+def read_body(data: bytes, head: Head, length: int) -> bytes | Look:
     """The rest of `data` as the body, if it has the given `length`; more than one message at a time is uncommon."""
-    if not _CONTENT_LENGTH.fullmatch(length) or int(length) > max_body:
-        return Look.UNCOMMON
-    message_size = head.size + int(length)
+    message_size = head.size + length
     if len(data) != message_size:
         return Look.SHORT if len(data) < message_size else Look.UNCOMMON
     return data[head.size :]
--- a/calicohitch/net/http.py
+++ b/calicohitch/net/http.py
@@ -10,11 +10,9 @@
 import os
 import re
 import socket
-from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable
 from contextlib import suppress
 from dataclasses import dataclass
-from http import HTTPStatus
 
 import anyio
 import h11
@@ -474,101 +472,3 @@
     query: str = ""
     repeated: frozenset[bytes] = frozenset()  # names of repeated headers; `headers` has the last
     raw: Iterable[tuple[bytes, bytes]] = ()  # all headers, in order
-
-
-class ServerConnection:
-    """A connection from a client, for one request at a time."""
-
-    def __init__(self, link: Link) -> None:
-        self._link = link
-        self._http = h11.Connection(h11.SERVER)
-
-    @property
-    def handed(self) -> int:
-        """Bytes that the kernel has taken for the client so far."""
-        return self._link.handed
-
-    def feed(self, data: bytes) -> None:
-        """Take bytes that were read from the connection before this object was made."""
-        self._http.receive_data(data)
-
-    def client_left(self) -> bool:
-        return self._link.has_ended()
-
-    async def started(self) -> bool:
-        """Wait for the first bytes of the next request; False if the client ended the connection instead."""
-        if not self._http.trailing_data[0]:
-            data = await self._link.receive()
-            self._http.receive_data(data)
-            return bool(data)
-        return True
-
-    async def request(self) -> Request | None:
-        """The request that has started, once complete; None if the client closed. Raises if h11 finds it invalid."""
-        head: h11.Request | None = None
-        body = bytearray()
-        while not isinstance(event := self._http.next_event(), h11.EndOfMessage):
-            if event is h11.NEED_DATA:
-                if self._http.they_are_waiting_for_100_continue:
-                    interim = h11.InformationalResponse(status_code=100, headers=[])
-                    await self._link.send(self._http.send(interim) or b"")
-                self._http.receive_data(await self._link.receive())
-            elif isinstance(event, h11.Request):
-                head = event
-                names = [name for name, _ in event.headers]
-                if b"transfer-encoding" in names and b"content-length" in names:
-                    raise Ambiguous("both Content-Length and Transfer-Encoding")
-                if int(dict(event.headers).get(b"content-length", b"0")) > MAX_BODY:
-                    raise BodyTooLarge
-            elif isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > MAX_BODY:
-                    raise BodyTooLarge
-            elif isinstance(event, h11.ConnectionClosed):
-                return None
-        assert head is not None
-        if self._http.trailing_data[0]:
-            raise Ambiguous("more than one request at a time")
-        counts = Counter(name for name, _ in head.headers)
-        path, _, query = head.target.decode("ascii", "replace").partition("?")
-        method = head.method.decode("ascii", "replace")
-        return Request(
-            method,
-            path,
-            dict(head.headers),
-            bytes(body),
-            query,
-            frozenset(name for name, count in counts.items() if count > 1),
-            head.headers,
-        )
-
-    async def respond(
-        self, status: int, headers: Headers | None = None, body: bytes = b"", close: bool = False
-    ) -> None:
-        headers = [*(headers or []), (b"Content-Length", str(len(body)).encode())]
-        if close:
-            headers.append((b"Connection", b"close"))
-        head = h11.Response(status_code=status, headers=headers, reason=HTTPStatus(status).phrase)
-        data = self._http.send(head) or b""
-        if body:
-            data += self._http.send(h11.Data(data=body)) or b""
-        data += self._http.send(h11.EndOfMessage()) or b""
-        await self._link.send(data)
-
-    def next(self) -> bool:
-        """Prepare for one more request; False if the connection has to be closed."""
-        if self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
-            return False
-        self._http.start_next_cycle()
-        return True
-
-    async def linger(self) -> None:
-        """Discard what the client still sends after a response to a request that was not read completely: closing at
-        once would reset the connection, and the response would be lost."""
-        self._link.end_sending()
-        remaining = _LINGER_BYTES
-        while remaining > 0 and (data := await self._link.receive()):
-            remaining -= len(data)
-
-    def close(self) -> None:
-        self._link.close()
--- a/tests/orders/test_shutdown.py
+++ b/tests/orders/test_shutdown.py
@@ -16,7 +16,7 @@
 
 from calicohitch.net import notices
 from calicohitch.net import relay as relay_module
-from calicohitch.net.http import Link, ServerConnection
+from calicohitch.net.http import Link, is_quiet, send_at_once
 from calicohitch.core.protocols import Submission
 
 HEAD = (
@@ -232,20 +232,23 @@
 
     @in_world
     async def test_a_close_behind_the_answer_to_an_uncommon_request_is_no_reset(self, world: World) -> None:
-        """More comes between the answer that a task has written and its close."""
+        """More comes between the answer and the close."""
         async with world.relay() as relay:
-            link = await Link.connect(world.client)
-            relay.stopping, respond = True, ServerConnection.respond
+            with socket.create_connection((world.client.host, world.client.port)) as client:
+                relay.stopping = True
 
-            async def responded(connection: ServerConnection, *rest: Any, **more: Any) -> None:
-                await respond(connection, *rest, **more)
-                await link.send(b"x")
-                await until(lambda: not connection._link.is_quiet())
+                def responded(sock: socket.socket, data: bytes) -> int:
+                    sent = send_at_once(sock, data)
+                    client.sendall(b"x")
+                    while is_quiet(sock):
+                        pass
+                    return sent
 
-            with mock.patch.object(ServerConnection, "respond", responded):
-                await link.send(HEAD.replace(b"Content-Length: 0", b"Transfer-Encoding: chunked") + b"\r\n0\r\n\r\n")
-                self.assertEqual((await answer_on(link))[9:12], b"503")
-            link.close()
+                with mock.patch("calicohitch.intake.clients.send_at_once", responded):
+                    chunked = HEAD.replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+                    client.sendall(chunked + b"\r\n0\r\n\r\n")
+                    client.setblocking(False)
+                    self.assertEqual((await answer_on(Link(client)))[9:12], b"503")
 
     @in_world
     async def test_a_request_that_waits_for_its_turn_is_not_taken_for_silence(self, world: World) -> None:
--- a/tests/test_relay_rules.py
+++ b/tests/test_relay_rules.py
@@ -359,7 +359,7 @@
             sessions = world.clients.sessions
             link = await Link.connect(world.client)
             await link.send(b"POST /orders HTTP/1.1\r\nHost: r\r\nTransfer-Encoding: chunked\r\n\r\n")
-            await until(lambda: any(connection.scope for connection in sessions.fresh))
+            await until(lambda: any(connection.reader for connection in sessions.fresh))
             (connection,) = sessions.fresh
             world.clients._close(connection)
             self.assertEqual(await link.receive(), b"")
--- a/tests/world.py
+++ b/tests/world.py
@@ -11,12 +11,13 @@
 from typing import Any
 
 import anyio
+from fake_servers.server_connection import ServerConnection
 
 from calicohitch.clock import Clock
 from calicohitch.config import Address, Config, parse
 from calicohitch.journal import Journal
 from calicohitch.intake.clients import Clients
-from calicohitch.net.http import ClientConnection, Link, Request, Response, ServerConnection, listen
+from calicohitch.net.http import ClientConnection, Link, Request, Response, listen
 from calicohitch.net.relay import Relay
 
 HERE = Address("127.0.0.1", 0)
