The kernel is asked whether a client has left, whatever it sent last is unread

What callers saw: a request ran whose client had closed its connection before it was accepted. A relay that stood still read 64 KiB, a whole request, and looked for the end of the connection by peeking at the next byte; with more bytes behind the request the peek shows these and not the end.

The end is now asked of poll(2) (POLLRDHUP, POLLHUP, POLLERR), which reports it in front of unread bytes too, at the moment of acceptance. Where the end itself is stuck behind bytes that the buffers do not take it cannot be known, but then more than one request has come: that is answered 400 as it is where one read takes it all.

--- a/calicohitch/intake/clients.py
+++ b/calicohitch/intake/clients.py
@@ -30,7 +30,8 @@
     Request,
     close_quietly,
     hang_up,
-    has_ended,
+    has_left,
+    has_unread,
     receive_at_once,
     send_at_once,
 )
@@ -45,7 +46,7 @@
 from .admission.shares import Shares, Verdict
 from .head import answer
 from .readiness import Readiness
-from .request_reader import Complete, RequestReader, RequestRejected
+from .request_reader import MORE_THAN_ONE, Complete, RequestReader, RequestRejected
 from .sessions import ClientSession, SessionTable
 from .submission import ACCEPTED, BadRequest, SubmissionAnswer, read_submission, refusal
 
@@ -505,7 +506,9 @@
         except RequestRejected as err:
             self._reject(session, err.status, str(err))
             return
-        if parsed is not None:
+        if parsed is not None and has_unread(session.sock):
+            self._reject(session, 400, MORE_THAN_ONE)
+        elif parsed is not None:
             self.sessions.remove(session)
             session.reader = None
             self._respond_now(session, parsed, waited_ms)
@@ -609,7 +612,7 @@
         now = anyio.current_time() * 1e3
         if waited_ms:
             self._load.measured(now, waited_ms)
-        if has_ended(session.sock):
+        if has_left(session.sock):
             number: int | Refusal = Refusal.CLIENT_LEFT
         elif not self._load.admits(self.shares.known(session.source, now), waited_ms):
             number = Refusal.BUSY
--- a/calicohitch/net/http.py
+++ b/calicohitch/net/http.py
@@ -9,6 +9,7 @@
 import math
 import os
 import re
+import select
 import socket
 from collections.abc import Awaitable, Callable, Iterable
 from contextlib import suppress
@@ -34,6 +35,7 @@
 _LINGER_BYTES = 1 << 20
 # Codes of connect(2) after which its result is known once the socket is writable.
 _CONNECT_IN_PROGRESS = (errno.EINPROGRESS, errno.EINTR, errno.EALREADY)
+_LEFT_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 _MAX_DISCARD_READS = 16  # reads that discard unread data before a close
 
 Headers = list[tuple[bytes, bytes]]
@@ -121,6 +123,25 @@
         return not of_this_machine(error, Step.TRANSFER)
 
 
+def has_unread(sock: socket.socket) -> bool:
+    """Whether bytes have come that were not read yet."""
+    try:
+        return bool(sock.recv(1, socket.MSG_PEEK))
+    except OSError:
+        return False
+
+
+def has_left(sock: socket.socket) -> bool:
+    """Whether the peer has closed the connection or ended its sending, even if bytes that came before are unread."""
+    poll = select.poll()
+    poll.register(sock, select.POLLRDHUP)
+    try:
+        events = poll.poll(0)
+    except OSError:
+        events = []
+    return any(event & _LEFT_EVENTS for _, event in events) or has_ended(sock)
+
+
 def hang_up(sock: socket.socket) -> None:
     """Close after a response: unread data would turn the close into a reset, and the response would be lost."""
     with suppress(OSError):
--- a/calicohitch/net/server_exchange.py
+++ b/calicohitch/net/server_exchange.py
@@ -14,6 +14,7 @@
 
 from .http import MAX_BODY, Ambiguous, BodyTooLarge, Headers, Request
 
+MORE_THAN_ONE = "more than one request at a time"
 MAX_EVENTS_PER_POLL = 128
 MAX_EVENTS_OF_FIRST_POLL = 8  # a request in a few chunks has no more
 _SLICE_BYTES = 4 << 10  # of a body, given to h11 at once
@@ -116,7 +117,7 @@
         head = self._head
         assert head is not None
         if self.has_data:
-            raise Ambiguous("more than one request at a time")
+            raise Ambiguous(MORE_THAN_ONE)
         counts = Counter(name for name, _ in head.headers)
         path, _, query = head.target.decode("ascii", "replace").partition("?")
         return Request(
