--- a/calicohitch/intake/clients.py
+++ b/calicohitch/intake/clients.py
@@ -36,6 +36,7 @@
     send_at_once,
 )
 from ..net.relay import Relay
+from ..net.server_exchange import MORE_THAN_ONE
 from ..core.descriptor_budget import DescriptorUse
 from ..core.change_notifier import ChangeNotifier
 from .admission.account import Account
@@ -46,7 +47,7 @@
 from .admission.shares import Shares, Verdict
 from .head import answer
 from .readiness import Readiness
-from .request_reader import MORE_THAN_ONE, Complete, RequestReader, RequestRejected
+from .request_reader import Complete, RequestReader, RequestRejected
 from .sessions import ClientSession, SessionTable
 from .submission import ACCEPTED, BadRequest, SubmissionAnswer, read_submission, refusal
 
--- a/calicohitch/intake/request_reader.py
+++ b/calicohitch/intake/request_reader.py
@@ -31,7 +31,6 @@
 _LOWEST_FIRST_BYTE = 0x21  # no request line starts with a byte below it
 _FIELD_BYTES = 250  # a parsed header in memory, beside its bytes
 _EXCHANGE_BYTES = 6 << 10  # h11's objects of a request without headers
-MORE_THAN_ONE = "more than one request at a time"
 _UNREADABLE = "the request cannot be read"
 
 
