An accepted id is answered from memory while its time runs, over a restart too

Only the ids of open messages were known.

The ids of accepted messages that are over are kept until their deadlines (16,384 at most, those that end first go first) and answered 202. No record is new.

--- a/calicohitch/journal.py
+++ b/calicohitch/journal.py
@@ -2,7 +2,8 @@
 
 Records are appended, each with its length and checksum, and each is written before the act that it describes.
 Files are small segments. The oldest is deleted once none of the messages accepted in it is open; since messages live
-for seconds, nothing is ever compacted.
+for seconds, nothing is ever compacted. Where a clock is given, it is kept until the deadlines of its messages have
+passed as well, as long as there is room, so that a later incarnation knows their ids.
 
 A record that cannot be written is either refused or queued. An accepted message or an attempt is refused, and the act
 does not take place. An outcome, an end or a close has already happened: its record is queued, and pending records are
@@ -53,6 +54,7 @@
 _RESERVE_PER_MESSAGE_BYTES = 640  # for each open message: eight attempts, their outcomes, its end
 DISK_SHARE = 0.7  # upper bound of the share of the disk that the journal uses; the rest is a margin
 _SEGMENT = re.compile(r"journal-(\d{8,18})\.log")
+_RETAINED_SHARE = 0.5  # of the journal's disk budget, above which segments without open messages are not kept
 _QUARANTINE_PREFIX = "damaged-"  # of the name of a segment that is quarantined for inspection
 _MAX_QUARANTINED_FILES, _QUARANTINE_SHARE = 4, 0.05  # share: of the journal's disk budget
 
@@ -145,6 +147,7 @@
     path: Path
     size: int = 0
     open: int = 0  # number of open messages
+    needed_until: float = 0.0  # the latest deadline of its messages, by this process's clock
     damaged: bool = False
     empty_size: int = 0  # its size with nothing but its header
     # Milliseconds, added to its times to convert them to this process's clock; None if unknown.
@@ -182,16 +185,18 @@
         moment: Moment | None = None,
         complete: bool = False,
         own_times: bool = True,
+        now: Callable[[], float] | None = None,
     ) -> None:
         """`moment`: the present, by the clock that this incarnation uses. `complete`: raise OSError if a segment cannot
         be read for a reason that may be transient; otherwise the segment is left as it is. `own_times`: the records'
         times are by this relay's clock, and are converted if that clock was set meanwhile; the times of replicas are by
-        their owner's clock, and are not converted."""
+        their owner's clock, and are not converted. `now`: the clock by which closed messages are kept, in Unix
+        milliseconds; without it they are not."""
         self._budget = int(disk_bytes * DISK_SHARE)
         self._roll_at = max(4096, min(128 << 10, self._budget // 16))
         self._folder, self._incarnation, self._check, self._complete = folder, incarnation, check, complete
         self._moment = moment or clocks.now(Clock().now())
-        self._own_times = own_times
+        self._own_times, self._now = own_times, now
         self._segments: deque[_Segment] = deque()
         self._segment_of: dict[int, _Segment] = {}  # open message -> the segment in which it was accepted
         self._pending: deque[_PendingRecord] = deque()
@@ -202,6 +207,7 @@
         self.refusing = False  # the last write failed
         self.on_refused: Callable[[], None] = lambda: None
         self.entries: dict[int, Entry] = {}
+        self.closed_ids: dict[str, float] = {}  # id -> deadline, of closed messages whose time still runs
         self.damage: list[Damage] = []
         self.orphans = 0
         self.next_number = 1
@@ -240,13 +246,18 @@
     def has_room(self, body: int) -> bool:
         """Whether one more message fits, with the space reserved for later records of all open ones."""
         reserved = _RESERVE_PER_MESSAGE_BYTES * (len(self._segment_of) + 1)
-        return self.used() + reserved + body + 2 * _BLOCK_BYTES < self._budget
+        needed = reserved + body + 2 * _BLOCK_BYTES
+        while self.used() + needed >= self._budget:
+            if not (self._is_first_unused() and self._delete_first()):
+                return False
+        return True
 
     def record_accepted(self, entry: Entry) -> None:
         trace = self._record(_Kind.TRACE, entry.number, entry.trace) if entry.trace else b""
         segment = self._append(_Kind.CALL if entry.call else _Kind.TAKEN, entry.number, _taken_data(entry), trace)
         self._segment_of[entry.number] = segment
         segment.open += 1
+        segment.needed_until = max(segment.needed_until, entry.deadline)
         self.next_number = max(self.next_number, entry.number + 1)
 
     def record_complete(self, entry: Entry) -> None:
@@ -418,15 +429,34 @@
         self._newest_number += 1
         self._segments.append(_Segment(path, len(header), empty_size=len(header), clock_offset=0.0))
 
+    def delete_expired(self) -> None:
+        """Delete the segments that were kept for the ids of their messages and are needed no more."""
+        self._delete_unneeded()
+
     def _delete_unneeded(self) -> None:
-        while self._segments and not self._segments[0].open and (len(self._segments) > 1 or self._fd < 0):
-            segment = self._segments[0]
-            try:
-                if not (segment.damaged and self._quarantine(segment)):
-                    segment.path.unlink(missing_ok=True)
-            except OSError:
+        while self._is_first_unused() and not self._is_first_retained():
+            if not self._delete_first():
                 return  # retried when the next message is closed
-            self._segments.popleft()
+
+    def _is_first_unused(self) -> bool:
+        """Whether there is an oldest segment that is not written to and has no open message."""
+        return bool(self._segments) and not self._segments[0].open and (len(self._segments) > 1 or self._fd < 0)
+
+    def _is_first_retained(self) -> bool:
+        if self._now is None or self._segments[0].damaged or self.used() > self._budget * _RETAINED_SHARE:
+            return False
+        return self._segments[0].needed_until > self._now()
+
+    def _delete_first(self) -> bool:
+        """Delete the oldest segment; False if that fails."""
+        segment = self._segments[0]
+        try:
+            if not (segment.damaged and self._quarantine(segment)):
+                segment.path.unlink(missing_ok=True)
+        except OSError:
+            return False
+        self._segments.popleft()
+        return True
 
     def _quarantine(self, segment: _Segment) -> bool:
         """Rename a damaged segment to keep it for inspection, and delete the oldest quarantined ones to stay within the
@@ -550,6 +580,7 @@
         self.entries[entry.number] = entry
         self._segment_of[entry.number] = segment
         segment.open += 1
+        segment.needed_until = max(segment.needed_until, entry.deadline)
         for kind, data, clock_offset in self._unmatched.pop(entry.number, ()):
             self._apply(kind, entry, data, clock_offset)
 
@@ -582,6 +613,7 @@
             elif kind == _Kind.CLOSED:
                 self._closed.add(number)
                 if number in self._segment_of:
+                    self._remember_closed(self.entries[number])
                     self._forget(number)
             elif (entry := self.entries.get(number)) is not None:
                 self._apply(kind, entry, data, segment.clock_offset or 0.0)
@@ -591,6 +623,13 @@
             segment.damaged = True
             self._report_damage(segment, record.offset, len(record.payload), f"it cannot be understood: {err}")
 
+    def _remember_closed(self, entry: Entry) -> None:
+        """Keep the id of a message that was accepted; one that its client withdrew has neither an attempt nor an
+        end."""
+        was_accepted = not entry.call and (entry.attempts or entry.end)
+        if self._now is not None and was_accepted and entry.deadline > self._now():
+            self.closed_ids[entry.id] = entry.deadline
+
     def _clock_offset(self, header: bytes, previous: float | None) -> float | None:
         """Milliseconds to add to the times of a segment; `previous`, that of the segment before, if the moment in its
         header is damaged, and None if the header has none."""
--- a/calicohitch/net/relay.py
+++ b/calicohitch/net/relay.py
@@ -21,6 +21,7 @@
 from .. import interface as i
 from ..clock import Clock, to_micros, to_ms
 from ..config import Config
+from ..core.accepted_ids import AcceptedIds
 from ..core.backoff import Backoff
 from ..core.invariants import Invariant, Invariants
 from ..core.descriptor_budget import DescriptorUse, divide_descriptors
@@ -61,6 +62,7 @@
 # After this wait for the coordination store, a starting relay serves the messages that need no replication.
 _REPLICATION_START_TIMEOUT_S = 5.0
 _REPLICATION_TIMEOUT_S = 0.35  # a client waits 0.4 s for the response to its submission
+_MAX_ACCEPTED_IDS = 16_384  # of messages that are over
 _MAX_LOGGED_HEALTH_CHANGES = 10  # each time that the state is stored
 _MAX_LOGGED_DAMAGED_REGIONS = 20  # one log line each; the summary counts all
 
@@ -157,6 +159,7 @@
         self._deliveries: dict[int, Delivery] = {0: self._endpoints}
         self.invariants = Invariants()
         self._call_history = CallHistory(settings.open_cap * 4)
+        self._accepted_ids = AcceptedIds(_MAX_ACCEPTED_IDS)
         self._replicator, self.letting_go = replicator, False
         if replicator:
             replicator.attach(self)
@@ -171,6 +174,7 @@
         self.resources.register("pending_ends", lambda: len(self._pending_ends))
         self.resources.register("pending_notices", lambda: len(self._notices))
         self.resources.register("provisional_deliveries", lambda: len(self._provisional))
+        self.resources.register("remembered_ids", lambda: len(self._accepted_ids))
         self.resources.register("remembered_calls", lambda: len(self._call_history))
         self.resources.register("descriptors", lambda: self.descriptors.held.total())
         self.resources.register("tasks", lambda: len(asyncio.all_tasks()))
@@ -261,6 +265,8 @@
         if (number := self._by_id.get(submission.id)) is not None:
             # A repeated request, or another client used the same id: only the first may accept or withdraw.
             return Refusal.ALREADY_ACCEPTED if self._open[number].accepted else Refusal.BEING_SUBMITTED
+        if not submission.reply and submission.id in self._accepted_ids:
+            return Refusal.ALREADY_ACCEPTED
         if self.stopping or not self.ready:
             return Refusal.STOPPING if self.stopping else Refusal.STARTING
         if submission.key is None and self._config.settings.classes[submission.class_index].effect is i.Effect.KEYED:
@@ -815,6 +821,8 @@
         message = self._open.pop(number, None)
         if message:
             self._by_id.pop(message.entry.id, None)
+            if message.accepted and not (message.submission and message.submission.reply):
+                self._accepted_ids.add(message.entry.id, message.entry.deadline)
         return message
 
     def _load_endpoint_list(self) -> None:
@@ -851,6 +859,9 @@
             self._awaiting_ownership = {entry.number: entry for entry in entries if self._replicator.covers(entry)}
             entries = [entry for entry in entries if entry.number not in self._awaiting_ownership]
         self._journal.entries.clear()
+        for wire_id, deadline in self._journal.closed_ids.items():
+            self._accepted_ids.add(wire_id, deadline)
+        self._journal.closed_ids.clear()
         arrived = self._adopted_events(entries)
         if entries:
             logger.info("from the journal: {} messages, {} notices", len(arrived), len(self._notices))
@@ -873,6 +884,7 @@
             if self._tracer:
                 self._tracer.recovered(entry)
             if entry.end:
+                self._accepted_ids.add(entry.id, entry.deadline)
                 self._pending_ends.add(entry, entry.end)
             else:
                 self._open[entry.number] = _OpenMessage(entry, accepted=True)
@@ -1092,6 +1104,8 @@
                 self.feed(i.Resumed())
             for number in self._call_history.expired(self._clock.now()):
                 self._record_closed(number)
+            self._accepted_ids.drop_expired(self._clock.now())
+            self._journal.delete_expired()
             overdue = self._clock.now() - _OVERDUE_GRACE_MS
             self._provisional.end_overdue(overdue)
             for number in [
--- a/calicohitch/service.py
+++ b/calicohitch/service.py
@@ -162,6 +162,7 @@
                 lease.check,
                 clocks.now(clock.now()),
                 complete=not is_last_try,
+                now=clock.now,
             )
         except OSError as err:
             problem = unusable(config.state, err)
