An endpoint is its incarnation: another start time or destination under an id is another one

What callers saw: an endpoint whose id passed to another destination went on getting the work of the first (10 of 10 messages), a message whose call broke off was called again at the process that had taken the place of its endpoint, and connections to the first process were used for the next. The directory kept the number of an id, and the decisions, the pools and the waits go by that number.

A member with a known id and another `up_since_ms` or cell now ends the endpoint before (as Gone, in the same update) and gets a new number; a stale list does not bring an earlier process back. An address alone does not make another process: the pools have it in their keys, and endpoints that move are called at their new addresses as before. A complete list no longer makes a destination known by a member that it reports as gone.

--- a/calicohitch/net/discovery.py
+++ b/calicohitch/net/discovery.py
@@ -65,8 +65,10 @@
 
 
 class Directory:
-    """The known endpoints: the numbers that the decision engine uses for them, and their addresses. One that is gone is
-    forgotten: if its id appears again, it gets a new number."""
+    """The known endpoints: the numbers that the decision engine uses for them, and their addresses. A number stands for
+    one incarnation of an endpoint: one that is gone is forgotten, and if its id appears again, or with another start
+    time or destination, it gets a new number. So nothing that was learned of, sent to or promised by the process before
+    is carried to the next."""
 
     def __init__(self, names: Names, speaks: Callable[[str, str, int], int] = lambda *_: 1) -> None:
         self._names, self._speaks = names, speaks
@@ -127,6 +129,13 @@
                 if (number := self._numbers.get(member.id)) is None:
                     continue
                 member = self._members[number]  # it keeps its state: draining
+            if (replaced := self._replaced_by(member)) is not None:
+                if stale and member.listed.since < replaced.listed.since:
+                    entries.append(replaced.listed)  # a stale discovery does not know the newer process yet
+                    continue
+                gone = self._end_incarnation(replaced)
+                entries.append(gone)
+                changes.append(gone)
             entries.append(member.listed)
             changes.append(member.listed)
             self._storable = None
@@ -141,7 +150,7 @@
                 self._members[member.listed.endpoint] = member
         self._dests |= {entry.dest for entry in entries}
         if complete:  # an endpoint that a complete list does not name is gone
-            self._dests = {entry.dest for entry in entries}
+            self._dests = {entry.dest for entry in entries if entry.phase is not Phase.GONE}
             for endpoint in self._members.keys() - {entry.endpoint for entry in entries}:
                 if not stale:  # a stale discovery may not know the endpoint yet
                     self._record_departure(self._members[endpoint])
@@ -171,6 +180,21 @@
         member = self._members.get(self._numbers.get(name, 0))
         return member if member and member.source == item else None
 
+    def _is_other_incarnation(self, number: int, item: dict[str, Any]) -> bool:
+        """Whether a member object with a known id describes another process than the one of this number."""
+        known = self._members[number].listed
+        return known.dest != int(item["cell"]) or known.since != to_micros(item.get("up_since_ms", 0))
+
+    def _replaced_by(self, member: Member) -> Member | None:
+        """The incarnation that this one takes the place of, if there is one."""
+        number = self._numbers.get(member.id)
+        return self._members[number] if number is not None and number != member.listed.endpoint else None
+
+    def _end_incarnation(self, member: Member) -> Listed:
+        """Forget an endpoint whose process was replaced; returns the entry that says so."""
+        self._forget(member.listed.endpoint)
+        return replace(member.listed, phase=Phase.GONE)
+
     def _record_departure(self, member: Member) -> None:
         self._departed.pop(member.id, None)
         self._departed[member.id] = member.listed.since
@@ -215,6 +239,8 @@
         phase, name = _PHASES[item["phase"]], str(item["id"])
         address = Address.parse(item["host_port"], "host_port") if phase is Phase.READY else None
         number = self._numbers.get(name)
+        if phase is Phase.READY and number is not None and self._is_other_incarnation(number, item):
+            number = None
         if phase is not Phase.READY and number is not None:  # a draining or gone one may be listed by id and phase only
             known = self._members[number]
             return replace(known, listed=replace(known.listed, phase=phase), source=None)
--- a/tests/test_endpoint_incarnations.py
+++ b/tests/test_endpoint_incarnations.py
@@ -10,6 +10,10 @@
 from test_process import Program, ending
 from world import Answer, Request, World, member, play, until
 
+from calicohitch.config.settings import Names
+from calicohitch.interface import Phase
+from calicohitch.net.discovery import Directory
+
 
 class Replaced(unittest.TestCase):
     def test_an_id_that_now_serves_another_destination_gets_no_work_of_the_first(self) -> None:
@@ -68,5 +72,39 @@
         play(test)
 
 
+class InTheDirectory(unittest.TestCase):
+    def setUp(self) -> None:
+        self.directory = Directory(Names((), ("west",), ("pubs",)))
+        self.tell(1, member("127.0.0.1:9") | {"up_since_ms": 2_000})
+        (self.first,) = self.directory._members
+
+    def tell(self, revision: int, *members: dict[str, object], complete: bool = False) -> list[tuple[int, int, Phase]]:
+        update = self.directory.read({"revision": revision, "complete": complete, "members": list(members)})
+        return [(entry.endpoint, entry.dest, entry.phase) for entry in update.entries]
+
+    def test_another_start_time_or_destination_is_another_endpoint_and_the_first_is_gone(self) -> None:
+        for changes in ({"up_since_ms": 3_000}, {"up_since_ms": 2_000, "cell": 9}):
+            for complete in (False, True):
+                self.setUp()
+                told = self.tell(2, member("127.0.0.1:9") | changes, complete=complete)
+                dest = int(str(changes.get("cell", 7)))
+                self.assertEqual(told, [(self.first, 7, Phase.GONE), (self.first + 1, dest, Phase.READY)])
+                self.assertIsNone(self.directory.get(self.first))
+                self.assertEqual(self.directory.number("s-1"), self.first + 1)
+                if complete:
+                    self.assertEqual((self.directory.knows(7), self.directory.knows(dest)), (dest == 7, True))
+
+    def test_another_address_alone_is_the_same_endpoint(self) -> None:
+        told = self.tell(2, member("127.0.0.1:10") | {"up_since_ms": 2_000})
+        self.assertEqual(told, [(self.first, 7, Phase.READY)])
+
+    def test_a_stale_list_does_not_bring_an_earlier_process_back(self) -> None:
+        self.tell(5, member("127.0.0.1:10") | {"up_since_ms": 3_000})
+        told = self.tell(4, member("127.0.0.1:9") | {"up_since_ms": 2_000})
+        self.assertEqual(told, [(self.first + 1, 7, Phase.READY)])
+        found = self.directory.get(self.first + 1)
+        self.assertEqual(str(found and found.address), "127.0.0.1:10")
+
+
 if __name__ == "__main__":
     unittest.main()
