Tables that grow with names from outside are bounded

Read and then played with 50,000 to 100,000 names: `LimitUpdates` kept every destination that a datagram named for ever, the directory every destination that a change of the list had named, the decisions a record of each destination of a message that came before any list. Now: 4,096 destinations without notes, dropped as their time ends; the directory keeps 16,384 beside those of its endpoints while only changes are told; the decisions forget destinations without endpoint, message, route and backoff where there are over 8,192. Nothing changes below the bounds.

--- a/calicohitch/core/limit_updates.py
+++ b/calicohitch/core/limit_updates.py
@@ -24,6 +24,7 @@
 _SECOND = 1_000_000  # microseconds
 _MAX_DELAY_US = 0.2 * _SECOND  # before a note is sent; notes take up to 40 ms
 _MIN_INTERVAL_US = 3 * _SECOND  # between two notes on a destination
+_MAX_MUTED = 4_096  # destinations on which no note is sent for a while
 _MAX_LIMIT = 1e9  # calls per second
 LOWERED, RAISED = 0.65, 1.6  # ratios to the known limit, beyond which a change is no noise and needs a note
 
@@ -59,7 +60,7 @@
         updates = list(self._pending.items())[:_MAX_DESTINATIONS]
         self._pending.clear()
         for dest, _ in updates:
-            self._muted_until[dest] = now + _MIN_INTERVAL_US
+            self._mute(now, dest)
         return _VERSION + b"".join(_ITEM.pack(dest & 0xFFFFFFFF, limit) for dest, limit in updates)
 
     def receive(self, now: int, note: bytes) -> list[tuple[int, float]]:
@@ -72,5 +73,12 @@
             if math.isfinite(limit) and 0 < limit < _MAX_LIMIT:
                 updates.append((dest, limit))
                 self._pending.pop(dest, None)
-                self._muted_until[dest] = now + _MIN_INTERVAL_US
+                self._mute(now, dest)
         return updates
+
+    def _mute(self, now: int, dest: int) -> None:
+        """Send no note on the destination for a while. Above the bound the longest muted ones may have one again."""
+        self._muted_until.pop(dest, None)
+        self._muted_until[dest] = now + _MIN_INTERVAL_US
+        while len(self._muted_until) > _MAX_MUTED or next(iter(self._muted_until.values())) <= now:
+            del self._muted_until[next(iter(self._muted_until))]
--- a/calicohitch/decision_state.py
+++ b/calicohitch/decision_state.py
@@ -9,7 +9,7 @@
 import math
 from bisect import bisect_left, bisect_right, insort
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 
 from .core.limit_share import LimitShare
@@ -22,6 +22,7 @@
 PACE_GROWTH_PER_S = 0.1  # share by which the pace grows each second without a refusal
 PACE_DURATION_S = 5  # pacing ends after this time without a refusal
 OPEN_CAP_SHARE = 0.9  # share of `open_cap` above which the least valuable messages are given up
+MAX_DESTINATIONS = 8_192  # above which those without endpoints and messages are forgotten
 SHARED_ROUTE = -1  # key of the only route of a destination whose endpoints share one route
 
 
@@ -268,3 +269,27 @@
             else:
                 look_at.append(kept_until)
         return min(look_at, default=0)
+
+
+class Destinations(dict[int, Destination]):
+    """The destinations by their numbers; one that is asked for is made. `now`: the present."""
+
+    def __init__(self, now: Callable[[], int]) -> None:
+        self._now = now
+        self._forget_above = MAX_DESTINATIONS
+
+    def __missing__(self, name: int) -> Destination:
+        dest = self[name] = Destination(self._now())
+        return dest
+
+    def forget_unused(self, messages: Iterable[Message]) -> None:
+        """Forgets the destinations that none of the open messages, no endpoint and no backoff needs, where there are
+        many."""
+        if len(self) <= self._forget_above:
+            return
+        now, needed = self._now(), {message.dest for message in messages}
+        for name, dest in list(self.items()):
+            dest.drop_unused_routes(now, 0)
+            if not (dest.endpoints or dest.routes or name in needed or dest.backoff_until > now):
+                del self[name]
+        self._forget_above = max(MAX_DESTINATIONS, 2 * len(self))
--- a/calicohitch/decisions.py
+++ b/calicohitch/decisions.py
@@ -9,7 +9,7 @@
 
 import math
 import random
-from collections import defaultdict, deque
+from collections import deque
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from heapq import heapify, heappop, heappush, merge
 from itertools import chain, islice
@@ -49,6 +49,7 @@
     TenantQuotas,
     Call,
     Destination,
+    Destinations,
     Endpoint,
     Message,
     Route,
@@ -114,7 +115,7 @@
         self._recent: list[deque[bool]] = [deque(maxlen=CONFORMANCE_WINDOW) for _ in settings.classes]
         self._open: dict[int, Message] = {}
         self._endpoints: dict[int, Endpoint] = {}
-        self._dests: dict[int, Destination] = defaultdict(lambda: Destination(self._now))
+        self._dests = Destinations(lambda: self._now)
         self._changed: dict[int, None] = {}  # destinations with changes: only these are examined
         self._backlogs: dict[int, None] = {}  # destinations whose held messages other relays may have as well
         self._unlisted = RestoredState()  # what an earlier run knew of destinations that are not listed yet
@@ -148,6 +149,7 @@
         }
         for event in events:
             handlers.get(type(event), lambda _: None)(event)
+        self._dests.forget_unused(self._open.values())
         self._spread_backlogs()
         while self._wakes and self._wakes[0][0] <= now:
             self._changed[heappop(self._wakes)[1]] = None
--- a/calicohitch/net/discovery.py
+++ b/calicohitch/net/discovery.py
@@ -25,6 +25,7 @@
 # A change counts as known to the relay after 6 s: a discovery that is behind for longer has lost its own state.
 _STALE_DISCOVERY_TIMEOUT_S = 6.5
 _MEMBERS_PER_SLICE = 100  # members that are parsed in one turn of the event loop: under 3 ms
+_MAX_DESTINATIONS = 16_384  # that are remembered without an endpoint, while only changes are told
 _MAX_DEPARTED = 4_096  # endpoints that are remembered as draining or gone
 _PHASES = {"Ready": Phase.READY, "Terminating": Phase.DRAINING, "Gone": Phase.GONE}
 
@@ -75,7 +76,7 @@
         self._numbers: dict[str, int] = {}
         self._members: dict[int, Member] = {}
         self._last_number = 0
-        self._dests: set[int] = set()
+        self._dests: dict[int, None] = {}
         self._newest_revision = -1
         self._parsed_ahead: dict[str, Member] = {}  # members of the next response that were parsed ahead, by id
         self._storable: list[dict[str, Any]] | None = None  # cached result of `storable_members`
@@ -148,9 +149,9 @@
             else:
                 self._numbers[member.id] = member.listed.endpoint
                 self._members[member.listed.endpoint] = member
-        self._dests |= {entry.dest for entry in entries}
+        self._remember_destinations(entries)
         if complete:  # an endpoint that a complete list does not name is gone
-            self._dests = {entry.dest for entry in entries if entry.phase is not Phase.GONE}
+            self._dests = {entry.dest: None for entry in entries if entry.phase is not Phase.GONE}
             for endpoint in self._members.keys() - {entry.endpoint for entry in entries}:
                 if not stale:  # a stale discovery may not know the endpoint yet
                     self._record_departure(self._members[endpoint])
@@ -180,6 +181,12 @@
         member = self._members.get(self._numbers.get(name, 0))
         return member if member and member.source == item else None
 
+    def _remember_destinations(self, entries: Sequence[Listed]) -> None:
+        for entry in entries:
+            self._dests[entry.dest] = None
+        if len(self._dests) > len(self._members) + _MAX_DESTINATIONS:
+            self._dests = {member.listed.dest: None for member in self._members.values()}
+
     def _is_other_incarnation(self, number: int, item: dict[str, Any]) -> bool:
         """Whether a member object with a known id describes another process than the one of this number."""
         known = self._members[number].listed
