--- a/calicohitch/net/http.py
+++ b/calicohitch/net/http.py
@@ -27,6 +27,9 @@
 _READ_BYTES = 64 << 10
 _MAX_INTERIM_RESPONSES = 16  # 1xx responses before the final one
 _RESPONSE_END_TIMEOUT_S = 0.5  # from the head of a response, or a status line of 200, to its last byte
+_HEAD_SLICE_BYTES = 4 << 10  # given to h11 at once
+_FREE_CHUNKS = 128  # that a body may have, however small
+_MIN_MEAN_CHUNK_BYTES = 16  # of the chunks beyond these
 _STATUS_LINE_BYTES = 256  # bytes of a response that are kept to read its status line
 _FORBIDDEN_IN_HEADER = re.compile(rb"[\0\r\n]")
 _STARTS_WITH_200 = re.compile(rb"HTTP/1\.\d 200[ \r\n]")
@@ -53,6 +56,11 @@
     """A request that another HTTP parser may read differently, or as two requests (request smuggling)."""
 
 
+def has_too_many_chunks(chunks: int, size: int) -> bool:
+    """Whether a chunked body of `size` bytes has far more framing than content: each chunk costs work."""
+    return chunks > _FREE_CHUNKS + size // _MIN_MEAN_CHUNK_BYTES
+
+
 def _family(address: Address) -> socket.AddressFamily:
     return socket.AF_INET6 if ":" in address.host else socket.AF_INET
 
@@ -286,7 +294,8 @@
         self.status_line_at, self._received_at = math.inf, 0.0
         self.head: h11.Response | None = None
         self._http: h11.Connection | None = None  # created only for a response that `net.answer` does not parse
-        self._body, self._interim = bytearray(), 0
+        self._body, self._interim, self._chunks = bytearray(), 0, 0
+        self._unparsed = b""  # received, and not given to h11 yet
 
     def receive(self, data: bytes, now: float) -> None:
         self._received_at = now
@@ -297,24 +306,39 @@
         self.status_line_at = min(self.status_line_at, self._received_at) if b"\n" in first_bytes else math.inf
 
     def parse(self, data: bytes) -> Response | None:
-        """Parse more data by h11; the response once it is complete. Raises if the response is invalid or too long."""
+        """Parse more data by h11; the response once it is complete. Raises if the response is invalid or too long. h11
+        gets a head in slices, since it limits it only as long as it is incomplete."""
         http = self._http = self._http or self._client_after_request()
-        http.receive_data(data)
+        self._unparsed = data
+        while True:
+            size = _HEAD_SLICE_BYTES if self.head is None else len(self._unparsed)
+            piece, self._unparsed = self._unparsed[:size], self._unparsed[size:]
+            http.receive_data(piece)
+            response = self._parse_received(http)
+            if response and self._unparsed:
+                http.receive_data(self._unparsed)  # it counts as trailing data
+            if response or not self._unparsed:
+                return response
+
+    def _parse_received(self, http: h11.Connection) -> Response | None:
         while not isinstance(event := http.next_event(), h11.EndOfMessage):
             if event is h11.NEED_DATA:
                 return None
             if isinstance(event, h11.InformationalResponse):
                 self._interim += 1
                 self.status_line_at = math.inf
-                self._set_first_bytes(http.trailing_data[0][:_STATUS_LINE_BYTES])
+                self._set_first_bytes((http.trailing_data[0] + self._unparsed)[:_STATUS_LINE_BYTES])
             elif isinstance(event, h11.Response):
                 self.head = event
             elif isinstance(event, h11.Data):
                 self._body += event.data
+                self._chunks += event.chunk_start
             elif isinstance(event, h11.ConnectionClosed):
                 raise ConnectionResetError("closed without a response")
             if len(self._body) > self._max_body or self._interim > _MAX_INTERIM_RESPONSES:
                 raise ConnectionResetError("the response is too long")
+            if has_too_many_chunks(self._chunks, len(self._body)):
+                raise ConnectionResetError("the chunks of the response are too small")
         assert self.head is not None
         return Response(self.head.status_code, dict(self.head.headers), bytes(self._body))
 
--- a/calicohitch/net/server_exchange.py
+++ b/calicohitch/net/server_exchange.py
@@ -12,15 +12,13 @@
 
 import h11
 
-from .http import MAX_BODY, Ambiguous, BodyTooLarge, Headers, Request
+from .http import MAX_BODY, Ambiguous, BodyTooLarge, Headers, Request, has_too_many_chunks
 
 MORE_THAN_ONE = "more than one request at a time"
 MAX_EVENTS_PER_POLL = 128
 MAX_EVENTS_OF_FIRST_POLL = 8  # a request in a few chunks has no more
 _SLICE_BYTES = 4 << 10  # of a body, given to h11 at once
 _MAX_FRAMING_BYTES = 4 << 10  # of an incomplete chunk header or of incomplete trailers
-_FREE_CHUNKS = 128  # that a body may have, however small
-_MIN_MEAN_CHUNK_BYTES = 16  # of the chunks beyond these
 
 
 class ChunksTooSmall(Exception):
@@ -110,7 +108,7 @@
         if len(self._body) > MAX_BODY:
             raise BodyTooLarge
         self._chunks += event.chunk_start
-        if self._chunks > _FREE_CHUNKS + len(self._body) // _MIN_MEAN_CHUNK_BYTES:
+        if has_too_many_chunks(self._chunks, len(self._body)):
             raise ChunksTooSmall
 
     def _request(self) -> Request:
