The soak has rude clients in numbers, ids that come again or change hands, and memory held against its limit

Each relay of the soak has 1,024 descriptors and `memory_mb` 192, and its process's peak is looked at every 0.1 s. The auditor has a rule for calls at endpoints of another destination, with a hand-made story; two scenarios and two mutants show that rule and the one on repeats.

--- a/tests/fleet/auditor.py
+++ b/tests/fleet/auditor.py
@@ -208,6 +208,10 @@
             return
         cls = self._classes[handed.cls]
         first_ran: float | None = None
+        for call in made:
+            if call.dest != handed.dest:
+                seen = f"handed in for {handed.dest}, called at an endpoint of {call.dest}"
+                report.findings.append(Finding("wrong destination", call.at, (wire_id,), seen))
         for n, call in enumerate(made):
             for earlier in made[:n]:
                 over = answers.get(earlier.call)
--- a/tests/fleet/mutants.py
+++ b/tests/fleet/mutants.py
@@ -138,3 +138,17 @@
     ConnectionPool.add_provisional = add_provisional  # type: ignore[method-assign]
     Endpoints._answered = certain  # type: ignore[method-assign]
     ConnectionPool._surplus_received = lambda self, connection, data: None  # type: ignore[method-assign]
+
+
+@_mutant("an id stands for one process", "wrong destination")
+def _one_process() -> None:
+    from calicohitch.net.discovery import Directory
+
+    Directory._is_other_incarnation = lambda self, number, item: False  # type: ignore[method-assign]
+
+
+@_mutant("ended ids are forgotten", "repeat")
+def _forgotten_ids() -> None:
+    from calicohitch.core.accepted_ids import AcceptedIds
+
+    AcceptedIds.add = lambda self, wire_id, expires_at: None  # type: ignore[method-assign]
--- a/tests/fleet/rig.py
+++ b/tests/fleet/rig.py
@@ -35,6 +35,7 @@
 from ports import free_port, free_udp_port
 
 ROOT = Path(__file__).parents[2]
+MEMORY_MB = 192  # of a relay
 _READY_S = 20.0
 _ANSWER_S = 0.4  # so long a client waits for its 202
 _KEPT_PAUSE_S = 0.02  # of a client between two messages on one connection
@@ -153,10 +154,12 @@
         root: Path = ROOT,
         told: int | None = None,
         notes: bool = False,
+        sockets: int = 512,
     ) -> None:
         """`told`: how many relays the settings speak of, if not as many as there are. `notes`: they may tell each
         other, by links of `self.notes`."""
         self.seed, self._code, self._root = seed, code, root
+        self.limits = {"sockets": sockets, "disk_mb": 3, "memory_mb": MEMORY_MB}
         self.random = random.Random(seed)
         self.story = Story(seed)
         self.dests = {dest.number: dest for dest in dests or (Destination(1), Destination(2))}
@@ -233,7 +236,7 @@
             "discovery": f"127.0.0.1:{discovery.port}",
             "state": str(state or relay.state),
             "seed": self.random.getrandbits(32),
-            "limits": {"sockets": 512, "disk_mb": 3},
+            "limits": self.limits,
             "settings": settings(self._told, number),
         }
         if self.notes:
@@ -314,6 +317,16 @@
         for name in names:
             self.story.tell("fault", what="left", relay=name)
 
+    def peak_mb(self, name: str) -> float:
+        """The highest resident memory of a relay's process so far, in decimal megabytes; 0 if it has ended."""
+        process = self.relays[name].process
+        if process is None or process.poll() is not None:
+            return 0.0
+        for line in Path(f"/proc/{process.pid}/status").read_text().splitlines():
+            if line.startswith("VmHWM:"):
+                return int(line.split()[1]) * 1_024 / 1e6
+        return 0.0
+
     # Folders.
 
     def lose(self, *names: str) -> None:
@@ -386,15 +399,11 @@
         self.story.tell(
             "handed", id=wire_id, cls=cls, dest=dest, relay=relay.name, left_s=left_s, aim_s=service["on_time"] / 1e6
         )
-        retry = f"Req-Retry: {mark}\r\n" if mark else ""
-        head = (
-            f"POST /{cls} HTTP/1.1\r\nHost: x\r\nReq-Id: {wire_id}\r\nReq-Deadline-Ms: {left_s * 1e3:.0f}\r\n"
-            f"Envelope: dest={dest}\r\nIdempotency-Key: key-{wire_id.partition('.')[0]}\r\n{retry}"
-            "Content-Length: 4\r\nConnection: close\r\n\r\nbody"
-        )
         status, again_s, closed = 0, 0.0, False
         try:
-            status, again_s = await asyncio.wait_for(_ask(relay.port, head.encode()), _ANSWER_S)
+            status, again_s = await asyncio.wait_for(
+                _ask(relay.port, _message(cls, dest, wire_id, left_s, mark)), _ANSWER_S
+            )
         except (asyncio.IncompleteReadError, ConnectionResetError, BrokenPipeError):
             closed = True
         except (OSError, TimeoutError):
@@ -402,6 +411,21 @@
         self.story.tell("client", id=wire_id, status=status, relay=relay.name, again_s=again_s, closed=closed)
         return status
 
+    async def hand_in_and_come_again(self, relay: Relay, after_s: float) -> None:
+        """A client hands a message in that may not run twice, leaves without reading, and comes again with its id."""
+        self._next += 1
+        wire_id = f"a{self._next}.0"
+        self.story.tell("handed", id=wire_id, cls="entries", dest=1, relay=relay.name, left_s=6.0, aim_s=2.5)
+        try:
+            _, writer = await asyncio.open_connection("127.0.0.1", relay.port)
+            writer.write(_message("entries", 1, wire_id, 6.0))
+            await asyncio.sleep(after_s / 10)
+            writer.close()
+        except OSError:
+            pass
+        await asyncio.sleep(after_s)
+        await self.hand_in("entries", 1, relay, wire_id, 6.0)
+
     async def keep_handing_in(self, relay: Relay, seconds: float) -> None:
         """One client that uses its connection for message after message, for as long as it stays open."""
         until = self.story.now() + seconds
@@ -484,6 +508,16 @@
     return Finding("broke off", at, (), f"{name}: {last[:1_500]}\n...\n{last[-2_000:]}")
 
 
+def _message(cls: str, dest: int, wire_id: str, left_s: float, mark: str = "") -> bytes:
+    """The request that hands one message in."""
+    retry = f"Req-Retry: {mark}\r\n" if mark else ""
+    return (
+        f"POST /{cls} HTTP/1.1\r\nHost: x\r\nReq-Id: {wire_id}\r\nReq-Deadline-Ms: {left_s * 1e3:.0f}\r\n"
+        f"Envelope: dest={dest}\r\nIdempotency-Key: key-{wire_id.partition('.')[0]}\r\n{retry}"
+        "Content-Length: 4\r\nConnection: close\r\n\r\nbody"
+    ).encode()
+
+
 async def _ask(port: int, data: bytes) -> tuple[int, float]:
     """One request on a connection of its own: the status, and after how many seconds to come again."""
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
--- a/tests/fleet/scenarios.py
+++ b/tests/fleet/scenarios.py
@@ -229,6 +229,43 @@
         return rig.audit()
 
 
+@_scenario
+async def ids_exchanged(seed: int, code: str = "") -> Report:
+    """Endpoints come back under the ids of endpoints of another destination, and those under theirs."""
+    async with Rig(seed, 3, _dests(), code=code) as rig:
+        await rig.start()
+        rig.load(5.0, 80.0)
+        for first, second in (("s-1-0", "s-2-1"), ("s-1-1", "s-2-0"), ("s-1-0", "s-2-1")):
+            await asyncio.sleep(1.2)
+            rig.discovery.exchange(first, second)
+            rig.story.tell("fault", what=f"{first} and {second} exchange their ids")
+        await rig.settled(9.0)
+        return rig.audit()
+
+
+@_scenario
+async def repeated_ids(seed: int, code: str = "") -> Report:
+    """Clients hand messages in that may not run twice, leave at once and come again with their ids; one relay is killed
+    between."""
+    async with Rig(seed, 2, _dests(), code=code) as rig:
+        await rig.start()
+        rig.load(6.0, 20.0)
+        draw = random.Random(f"repeated{seed}")
+
+        async def clients() -> None:
+            for _ in range(30):
+                await rig.hand_in_and_come_again(rig.relays[draw.choice(sorted(rig.relays))], draw.uniform(0.0, 0.3))
+
+        for _ in range(4):
+            rig.during(clients)
+        await asyncio.sleep(2.5)
+        rig.kill("r0")
+        rig.begin("r0")
+        await rig.come("r0")
+        await rig.settled(9.0)
+        return rig.audit()
+
+
 @_scenario
 async def outage(seed: int, code: str = "") -> Report:
     """A destination loses most answers and stays away for longer than a key is remembered."""
--- a/tests/fleet/soak.py
+++ b/tests/fleet/soak.py
@@ -3,8 +3,8 @@
     python tests/fleet/play.py soak --seeds 1-20 --workers 2
 
 Each trouble is begun and taken back by itself, so two or three hold at once. What the auditor finds counts, and so does
-a process that breaks off, ends with an error, reports a violated invariant, closes a connection on which it read a
-request without an answer, or does not serve again once all troubles are over.
+a process that breaks off, ends with an error, takes more memory than its settings allow, reports a violated invariant,
+closes a connection on which it read a request without an answer, or does not serve again once all troubles are over.
 """
 
 from __future__ import annotations
@@ -13,22 +13,30 @@
 import errno
 import random
 import signal
+import sys
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from pathlib import Path
 
 from fleet.auditor import Finding, Report
 from fleet.links import Fault, cut_off, one_way_up
-from fleet.rig import Relay, Rig
+from fleet.rig import MEMORY_MB, Relay, Rig
 from fleet.shims import Switch
 from fleet.standins import Destination, Server
 from fleet.stray import drawn
+from intake.rude_clients import ANSWERED, KINDS, MANY, ONE
 
 RELAYS = 10
 LOAD_S, PER_S = 14.0, 70.0
 SETTLES_S = 10.0  # longer than any message lives, and than what a cold destination needs
 AT_ONCE = 3  # troubles that overlap
 _KILL_AFTER_S = 3.7  # from SIGTERM to SIGKILL, at the earliest
-_CROWD = 260  # idle clients, more than a relay's descriptors for clients
+SOCKETS = 1_024
+_CROWD = 600  # idle clients, more than a relay's descriptors for clients
+_RUDE_CLIENTS = 600  # of one kind at one relay, at most
+_KEPT_THROUGH_A_STOP = 4  # clients that use their connections until the relay is killed
+_LOOK_AT_MEMORY_S = 0.1
+_RUDE_CLIENTS_PROGRAM = Path(__file__).parents[1] / "intake" / "rude_clients.py"
 _GONE_S = 0.05  # around a process's end its kernel closes what it had not read
 _COLD_AFTER_S = 1.5
 _CAPACITY = 80.0  # calls a second of a destination, of which half comes to it
@@ -44,6 +52,8 @@
         self.switches = {name: Switch() for name in rig.relays}
         self.busy: set[str] = set()  # relays that are being restarted
         self.findings: list[Finding] = []
+        self.peaks_mb: dict[str, float] = {}
+        self.has_crowd = self.random.random() < 0.4
         self.troubles: tuple[Callable[[], Awaitable[None]], ...] = (
             self.killed,
             self.killed_in_an_outage,
@@ -59,6 +69,10 @@
             self.calls_fail,
             self.clock_set,
             self.rude_clients,
+            self.rude_clients_in_numbers,
+            self.rude_clients_in_numbers,
+            self.clients_that_come_again,
+            self.ids_exchanged,
             self.held_up,
             self.stray_bytes,
             self.stray_bytes_of_the_platform,
@@ -134,7 +148,10 @@
         self.busy.add(relay.name)
         process = relay.process
         assert process
-        kept = self.rig.during(lambda: self.rig.keep_handing_in(relay, _KILL_AFTER_S))
+        kept = [
+            self.rig.during(lambda: self.rig.keep_handing_in(relay, _KILL_AFTER_S)) for _ in range(_KEPT_THROUGH_A_STOP)
+        ]
+        await asyncio.sleep(0.05)
         self.rig.signal(signal.SIGTERM, relay.name)
         for _ in range(self.random.randrange(3)):  # signals come in series
             await self.lasts(0.0, 0.2)
@@ -146,7 +163,7 @@
         except Exception:  # it still has work
             self.rig.kill(relay.name)
         self.tell(f"{relay.name} is over")
-        await kept
+        await asyncio.gather(*kept)
         await self.lasts(0.0, 0.3)
         await self.back(relay)
 
@@ -229,12 +246,26 @@
         dest.limit = whole
 
     async def endpoint_drains(self) -> None:
-        name = self.random.choice(sorted(self.rig.endpoints))
-        number = self.rig.endpoints[name].dest.number
-        self.rig.discovery.list(name, number, "Terminating")
-        self.tell(f"{name} drains")
+        process, discovery = self.random.choice(sorted(self.rig.endpoints)), self.rig.discovery
+        number = self.rig.endpoints[process].dest.number
+        discovery.list(self._id_of(process), number, "Terminating")
+        self.tell(f"{process} drains")
         await self.lasts(1.0, 3.0)
-        self.rig.discovery.list(name, number)
+        discovery.list(self._id_of(process), number)
+
+    def _id_of(self, process: str) -> str:
+        return next(name for name in self.rig.discovery.members if self.rig.discovery.process(name) == process)
+
+    async def ids_exchanged(self) -> None:
+        """An endpoint's id comes back with a process of another destination, and that one's with it."""
+        first, second = (
+            self.random.choice(
+                [name for name, member in sorted(self.rig.discovery.members.items()) if member["cell"] == n]
+            )
+            for n in (1, 2)
+        )
+        self.tell(f"{first} and {second} exchange their ids")
+        self.rig.discovery.exchange(first, second)
 
     async def disk_refuses(self) -> None:
         if not (relay := self.anyone()):
@@ -269,6 +300,31 @@
         for writer in held:
             writer.transport.abort()
 
+    async def rude_clients_in_numbers(self) -> None:
+        """Many clients that hold what a relay has, or one at full speed."""
+        if not (relay := self.anyone()):
+            return
+        kind = self.random.choice(sorted(KINDS))
+        clients = self.random.randrange(50, _RUDE_CLIENTS) if kind in MANY else self.random.randrange(1, 3)
+        kind += ANSWERED if kind in ONE and self.random.random() < 0.5 else ""
+        seconds = self.random.uniform(0.5, 3.0)
+        self.tell(f"{clients} rude clients of {relay.name}: {kind}")
+        arguments = [str(_RUDE_CLIENTS_PROGRAM), kind, str(relay.port), str(clients), f"{seconds:.2f}"]
+        process = await asyncio.create_subprocess_exec(sys.executable, *arguments, stdout=asyncio.subprocess.DEVNULL)
+        try:
+            await process.wait()
+        finally:
+            with suppress(ProcessLookupError):
+                process.kill()
+
+    async def clients_that_come_again(self) -> None:
+        """Clients send a message that may not run twice, leave at once, and hand it in again under its id."""
+        if not (relay := self.anyone()):
+            return
+        self.tell(f"clients of {relay.name} leave and come again")
+        for _ in range(self.random.randrange(5, 30)):
+            await self.rig.hand_in_and_come_again(relay, self.random.uniform(0.0, 0.3))
+
     async def stray_bytes(self) -> None:
         """Some endpoints send bytes that answer no call."""
         servers = [endpoint.server for endpoint in self.rig.endpoints.values()]
@@ -294,7 +350,7 @@
 
     async def crowd(self) -> None:
         """Idle clients take the descriptors."""
-        if not (relay := self.anyone()) or self.random.random() < 0.7:
+        if not (relay := self.anyone()) or not self.has_crowd:
             return
         held = []
         for _ in range(_CROWD):
@@ -324,6 +380,16 @@
             await self.random.choice(self.troubles)()
             await self.lasts(0.0, 0.6)
 
+    async def watch_memory(self) -> None:
+        """Until cancelled: the peak of each relay's process beside its settings."""
+        while True:
+            for name in self.rig.relays:
+                peak_mb = self.rig.peak_mb(name)
+                if peak_mb > MEMORY_MB >= self.peaks_mb.get(name, 0.0):
+                    self.found("memory", f"{name} takes {peak_mb:.0f} MB of {MEMORY_MB}")
+                self.peaks_mb[name] = max(self.peaks_mb.get(name, 0.0), peak_mb)
+            await asyncio.sleep(_LOOK_AT_MEMORY_S)
+
     def all_well(self) -> None:
         """What no trouble takes back by itself."""
         for name in self.rig.relays:
@@ -362,11 +428,12 @@
         Destination(1, _CAPACITY, _CAPACITY, tells_wait_ms=300.0, errs=0.03),
         Destination(2, _CAPACITY, _CAPACITY, takes_s=0.08, refuses=0.03),
     )
-    async with Rig(seed, RELAYS, dests, endpoints=3) as rig:
+    async with Rig(seed, RELAYS, dests, endpoints=3, sockets=SOCKETS) as rig:
         run = Soak(rig, seed)
         for name in rig.relays:
             run.begin(name)
         await rig.come(*rig.relays)
+        memory = rig.during(run.watch_memory)
         load = rig.load(LOAD_S, PER_S)
         troubles = [rig.during(lambda: run.keep_in_trouble(LOAD_S)) for _ in range(AT_ONCE)]
         done = await asyncio.gather(load, *troubles, return_exceptions=True)
@@ -374,10 +441,12 @@
             if isinstance(outcome, Exception):
                 raise outcome
         run.all_well()
+        memory.cancel()
         await rig.settled(SETTLES_S)
         await run.serves_again()
         await rig.settled(1.0)
         run.unanswered()
+        rig.story.tell("peaks", mb={name: round(peak) for name, peak in run.peaks_mb.items()})
         report = rig.audit()
         report.findings = sorted([*report.findings, *run.findings], key=lambda finding: finding.at)
         return report
--- a/tests/fleet/standins.py
+++ b/tests/fleet/standins.py
@@ -207,6 +207,7 @@
         """`places`: for a relay, endpoint's name -> the address at which this relay reaches it."""
         self._story, self._places = story, places
         self.members: dict[str, dict[str, Any]] = {}
+        self.processes: dict[str, str] = {}  # id in the list -> the endpoint whose process has it, if it is another one
         self.revision = 1
         self.silent = False
         self.drops_reports = 0.0  # share of the notices' requests whose connections are closed unread and unanswered
@@ -224,8 +225,25 @@
             "cell": dest,
             "phase": phase,
             "size": size,
-            "up_since_ms": 0,
+            "up_since_ms": self.members.get(name, {}).get("up_since_ms", 0),
         }
+        self._tell()
+
+    def exchange(self, one: str, other: str) -> None:
+        """Two ids pass to each other's processes, with their destinations; the processes stay at their addresses."""
+        self.processes[one], self.processes[other] = self.process(other), self.process(one)
+        first, second = self.members[one], self.members[other]
+        first["cell"], second["cell"] = second["cell"], first["cell"]
+        first["phase"], second["phase"] = second["phase"], first["phase"]
+        for member in (first, second):
+            member["up_since_ms"] += 1_000
+        self._tell()
+
+    def process(self, name: str) -> str:
+        """The endpoint whose process has this id now."""
+        return self.processes.get(name, name)
+
+    def _tell(self) -> None:
         self.revision += 1
         self._changed.set()
         self._changed = asyncio.Event()
@@ -256,11 +274,11 @@
         while self.silent:
             await asyncio.sleep(0.05)
         places = self._places(request.relay)
-        members = [member | {"host_port": places[name]} for name, member in self.members.items()]
+        members = [member | {"host_port": places[self.process(name)]} for name, member in self.members.items()]
         self._story.tell(
             "told",
             relay=request.relay,
             revision=self.revision,
-            draining=[name for name, member in self.members.items() if member["phase"] != "Ready"],
+            draining=[self.process(name) for name, member in self.members.items() if member["phase"] != "Ready"],
         )
         return 200, {}, json.dumps({"revision": self.revision, "complete": True, "members": members}).encode()
--- a/tests/fleet/test_auditor.py
+++ b/tests/fleet/test_auditor.py
@@ -65,6 +65,11 @@
         self.assertEqual(self.found(*taken, *away, notice(13.4)), [])
         self.assertEqual(self.found(*taken, *away, notice(13.7)), ["late end"])
 
+    def test_a_call_at_an_endpoint_of_another_destination(self) -> None:
+        taken = handed(1.0), told(1.1)
+        self.assertEqual(self.found(*taken, call(1.2, 1, dest=1), answer(1.3, 1)), [])
+        self.assertEqual(self.found(*taken, call(1.2, 1, dest=2), answer(1.3, 1)), ["wrong destination"])
+
     def test_a_stall_of_the_machine_is_nobodys_fault(self) -> None:
         taken = handed(1.0), told(1.1)
         self.assertEqual(self.found(*taken, (9.8, "stall", {"lasted": 1.0}), notice(9.81)), [])
--- a/tests/fleet/test_scenarios.py
+++ b/tests/fleet/test_scenarios.py
@@ -26,6 +26,8 @@
     "a start knows no limit": "herd_backlog",
     "keys are remembered for ever by the decisions alone": "outage",
     "the first bytes are the answer": "stray_copies",
+    "an id stands for one process": "ids_exchanged",
+    "ended ids are forgotten": "repeated_ids",
 }
 
 
@@ -43,6 +45,8 @@
                 "rolled_back",
                 "links",
                 "drains",
+                "ids_exchanged",
+                "repeated_ids",
                 "outage",
                 "herd_slow",
                 "clock_back",
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -7,8 +7,16 @@
 import anyio
 from world import SETTINGS, World, in_world, until
 
-from calicohitch.core.memory_budget import OPEN_MESSAGE_BYTES, MemoryBudget, MemoryUse, divide_memory
+from calicohitch.core.memory_budget import (
+    ENDED_MESSAGE_BYTES,
+    OPEN_MESSAGE_BYTES,
+    MemoryBudget,
+    MemoryUse,
+    divide_memory,
+)
+from calicohitch.journal import End
 from calicohitch.net.http import Link
+from calicohitch.net.notices import Notice
 
 MB = 1_000_000
 HEAD = b"POST /orders HTTP/1.1\r\nHost: r\r\nReq-Id: big\r\nContent-Length: 60000\r\n\r\n"
@@ -73,5 +81,20 @@
             self.assertEqual(relay.memory.held(MemoryUse.MESSAGES), 0)
 
 
+class Notices(unittest.TestCase):
+    @in_world
+    async def test_new_messages_are_refused_while_notices_that_nobody_takes_fill_the_budget(self, world: World) -> None:
+        async with world.relay(limits={"memory_mb": 1}) as relay:
+            relay._notices._may_act = lambda: False
+            most = relay.memory.total // ENDED_MESSAGE_BYTES
+            for n in range(most - 1):
+                relay._notices.add(Notice(1_000_000 + n, f"n{n}", End(False)))
+            self.assertEqual((await world.hand_in("refused")).status, 503)
+            relay._notices._may_act = lambda: True
+            await until(lambda: len(world.notices) == most - 1)
+            await until(lambda: not len(relay._notices))
+            self.assertEqual((await world.hand_in("accepted")).status, 202)
+
+
 if __name__ == "__main__":
     unittest.main()
