--- a/calicohitch/net/discovery.py
+++ b/calicohitch/net/discovery.py
@@ -21,7 +21,7 @@
 from ..core.system_errors import RETRY_PAUSE_S, Step, of_this_machine
 from .server_client import Moved, ServerClient
 
-_MAX_RESPONSE_BYTES = 16 << 20
+MAX_RESPONSE_BYTES = 16 << 20
 # A change counts as known to the relay after 6 s: a discovery that is behind for longer has lost its own state.
 _STALE_DISCOVERY_TIMEOUT_S = 6.5
 _MEMBERS_PER_SLICE = 100  # members that are parsed in one turn of the event loop: under 3 ms
@@ -279,9 +279,10 @@
         notify: Callable[[ListTold], None],
         timeouts: DiscoveryTimeouts,
         descriptors: DescriptorBudget | None = None,
+        max_response_bytes: int = MAX_RESPONSE_BYTES,
     ) -> None:
         descriptor = (descriptors, DescriptorUse.DISCOVERY) if descriptors else None
-        self._agent = ServerClient(address, _MAX_RESPONSE_BYTES, needs_body=True, descriptor=descriptor)
+        self._agent = ServerClient(address, max_response_bytes, needs_body=True, descriptor=descriptor)
         self._directory, self._notify = directory, notify
         self._version: int | None = None
         self._may_be_stale = False  # the list was restored and is not confirmed yet
--- a/calicohitch/net/relay.py
+++ b/calicohitch/net/relay.py
@@ -41,7 +41,7 @@
 from ..recovery.state_cache import StateCache
 from ..recovery.recovery_phases import RecoveryCounter, Recovery
 from ..decisions import DecisionEngine
-from .discovery import Directory, Discovery, ListError, Member
+from .discovery import MAX_RESPONSE_BYTES, Directory, Discovery, ListError, Member
 from .endpoints import Endpoints
 from .notices import Notice, Notices
 from .peers import Peers
@@ -63,6 +63,7 @@
 # After this wait for the coordination store, a starting relay serves the messages that need no replication.
 _REPLICATION_START_TIMEOUT_S = 5.0
 _REPLICATION_TIMEOUT_S = 0.35  # a client waits 0.4 s for the response to its submission
+_LIST_SHARE = 1 / 32  # of the memory limit, for a response of discovery, which takes some sixteen times its size
 _MAX_ACCEPTED_IDS = 16_384  # of messages that are over
 _MAX_LOGGED_HEALTH_CHANGES = 10  # each time that the state is stored
 _MAX_LOGGED_DAMAGED_REGIONS = 20  # one log line each; the summary counts all
@@ -147,7 +148,12 @@
         backoff = Backoff(settings.couriers, config.seed)
         timeouts = DiscoveryTimeouts(settings.asks_for_list, backoff)
         self._discovery = Discovery(
-            config.discovery, self._directory, self._endpoint_list_updated, timeouts, self.descriptors
+            config.discovery,
+            self._directory,
+            self._endpoint_list_updated,
+            timeouts,
+            self.descriptors,
+            min(MAX_RESPONSE_BYTES, int(config.limits.memory_mb * BYTES_PER_MB * _LIST_SHARE)),
         )
         self._waits: dict[int, float] = {}  # by `_route`: when the retry-after ends, in ms
         self._disk_refused = ChangeNotifier()
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -5,7 +5,7 @@
 import unittest
 
 import anyio
-from world import SETTINGS, World, in_world, until
+from world import SETTINGS, World, in_world, member, until
 
 from calicohitch.core.memory_budget import (
     ENDED_MESSAGE_BYTES,
@@ -81,6 +81,19 @@
             self.assertEqual(relay.memory.held(MemoryUse.MESSAGES), 0)
 
 
+class Lists(unittest.TestCase):
+    @in_world
+    async def test_one_that_would_take_too_much_memory_is_not_read(self, world: World) -> None:
+        few = list(world.members)
+        world.members += [member("127.0.0.1:9", f"s-{n}", 9) for n in range(400)]
+        async with world.relay(limits={"memory_mb": 1}) as relay:
+            await until(lambda: relay._discovery._failures)
+            self.assertIsNone(relay._discovery.version)
+            world.change(*few)
+            await until(lambda: relay._discovery.version)
+            self.assertEqual((await world.hand_in("a1")).status, 202)
+
+
 class Notices(unittest.TestCase):
     @in_world
     async def test_new_messages_are_refused_while_notices_that_nobody_takes_fill_the_budget(self, world: World) -> None:
