A delivery that silence confirms at its deadline is not reported as failed

The test of "a deadline near a call's length" failed now and then: the endpoint had the one message, and a `given_up` was told for it. Traced: no late machine. The call's time ends at the message's deadline, so its 200 is confirmed by silence from then on; the pool looks at silent connections each 100 ms, and a provisional delivery is reported as failed 50 to 100 ms after the deadline, whichever comes first. The relay now asks the pool once more before it reports.

--- a/calicohitch/net/endpoints.py
+++ b/calicohitch/net/endpoints.py
@@ -358,5 +358,9 @@
     def close_old(self) -> None:
         self._pool.close_old()
 
+    def confirm_silent(self) -> None:
+        """Confirm the deliveries that silence has proved by now."""
+        self._pool.confirm_silent()
+
     async def run(self) -> None:
         await self._pool.run()
--- a/calicohitch/net/provisional_deliveries.py
+++ b/calicohitch/net/provisional_deliveries.py
@@ -49,6 +49,10 @@
         self._record_end(entry, _FAILED)
         confirmation.when_known(lambda confirmed: self._known(entry.number, confirmed))
 
+    def has_overdue(self, before: float) -> bool:
+        """Whether the deadline of any was before this time, in milliseconds."""
+        return any(delivery.entry.deadline < before for delivery in self._unconfirmed.values())
+
     def end_overdue(self, before: float) -> None:
         """Report those whose deadline was before this time, in milliseconds: their notices have to go out in time."""
         for delivery in list(self._unconfirmed.values()):
--- a/calicohitch/net/relay.py
+++ b/calicohitch/net/relay.py
@@ -1130,7 +1130,9 @@
             self._accepted_ids.drop_expired(self._clock.now())
             self._journal.delete_expired()
             overdue = self._clock.now() - _OVERDUE_GRACE_MS
-            self._provisional.end_overdue(overdue)
+            if self._provisional.has_overdue(overdue):
+                self._endpoints.confirm_silent()  # what silence has confirmed by now is not reported as failed
+                self._provisional.end_overdue(overdue)
             for number in [
                 open_number for open_number, candidate in self._open.items() if candidate.entry.deadline < overdue
             ]:
