The test of a program's last moment hands each message in under an id of its own

It sent one id again and again through a stop and wanted 503 after 202. The protocol has a new id on every handing in; with that the check is as it was: nothing but 202 and then 503, to the last.

--- a/tests/orders/test_shutdown.py
+++ b/tests/orders/test_shutdown.py
@@ -127,7 +127,10 @@
         except OSError:
             break
         try:
-            await link.send(HEAD + b"Connection: close\r\n\r\n")
+            head = HEAD.replace(
+                b"Req-Id: a1", b"Req-Id: a1-%d" % len(statuses)
+            )  # new each time, as the protocol has it
+            await link.send(head + b"Connection: close\r\n\r\n")
             statuses.append((await answer_on(link))[9:12])
         except ConnectionResetError:
             statuses.append(RESET)
