--- a/tests/fleet/play.py
+++ b/tests/fleet/play.py
@@ -28,9 +28,10 @@
         return name, f"{name} seed {seed}: {type(err).__name__}: {err}", True
     if story:
         report.story.save(story)
+    peaks = "".join(f", peak {max(event.mb.values())} MB" for event in report.story.of("peaks"))
     return (
         name,
-        f"{name} {report.text()} on time {report.on_time}, refused above limits {report.above}",
+        f"{name} {report.text()} on time {report.on_time}, refused above limits {report.above}{peaks}",
         bool(report.findings),
     )
 
