Log lines of the relay and the spare descriptor are modules of their own

`net/relay.py` wrote the lines on damaged regions and on destinations' health itself, `intake/clients.py` opened and closed its spare descriptor; both have grown large. Moved as they were. Two tests of clients that left share their play, and the polite client says which of its messages use the kept connection.

--- a/calicohitch/intake/clients.py
+++ b/calicohitch/intake/clients.py
@@ -12,7 +12,6 @@
 
 import errno
 import math
-import os
 import random
 import socket
 import time
@@ -50,6 +49,7 @@
 from .readiness import Readiness
 from .request_reader import Complete, RequestReader, RequestRejected
 from .sessions import ClientSession, SessionTable
+from .spare_descriptor import SpareDescriptor
 from .submission import ACCEPTED, BadRequest, SubmissionAnswer, read_submission, refusal
 
 _IDLE_TIMEOUT_S = 5.0  # for a connection between requests
@@ -92,7 +92,7 @@
         self._new_requests: FairQueue[ClientSession] = FairQueue()
         self._continued_requests: FairQueue[ClientSession] = FairQueue()  # these had a turn already
         self._busy = False  # something was received since the loop's delay was last measured
-        self._spare_descriptor = -1  # held in reserve, to refuse a client when no other descriptor is free
+        self._spare = SpareDescriptor()
         self._by_fd: dict[int, ClientSession] = {}
         self._readiness: Readiness | None = None
         self._listening = self._shutting_down = False
@@ -118,7 +118,7 @@
 
     async def run(self) -> None:
         self._readiness = Readiness()
-        self._open_spare()
+        self._spare.open()
         try:
             async with anyio.create_task_group() as tasks:
                 self._tasks = tasks
@@ -132,7 +132,7 @@
             for session in self.sessions.all():
                 self._unwatch(session)
                 close_quietly(session.sock)
-            self._close_spare()
+            self._spare.close()
 
     async def _take_turns(self) -> None:
         assert self._readiness
@@ -275,8 +275,8 @@
 
     def _refuse_with_spare(self) -> None:
         """No descriptor is left: the spare one is used to refuse one client with a Retry-After, and opened again."""
-        if self._spare_descriptor >= 0:
-            self._close_spare()
+        if self._spare.is_open:
+            self._spare.close()
             try:
                 sock, address = self._listener.accept()
                 sock.setblocking(False)
@@ -285,19 +285,7 @@
                 )
             except OSError:
                 pass  # the freed descriptor was taken, or the client disconnected
-        self._open_spare()
-
-    def _open_spare(self) -> None:
-        try:
-            self._spare_descriptor = os.open(os.devnull, os.O_RDONLY | os.O_CLOEXEC)
-        except OSError as err:  # tried again when it is needed
-            logger.debug("cannot open the spare descriptor: {}", err)
-
-    def _close_spare(self) -> None:
-        spare, self._spare_descriptor = self._spare_descriptor, -1
-        if spare >= 0:
-            with suppress(OSError):
-                os.close(spare)
+        self._spare.open()
 
     def _refuse_connection(self, sock: socket.socket, source: str, cause: str) -> None:
         """Answer a connection that is not admitted with 503 and Retry-After, and close it."""
--- a/calicohitch/net/relay.py
+++ b/calicohitch/net/relay.py
@@ -11,7 +11,6 @@
 from collections import deque
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
-from itertools import islice
 from typing import TYPE_CHECKING, Any
 
 import anyio
@@ -28,6 +27,7 @@
 from ..core.call_history import CallHistory
 from ..core.change_notifier import ChangeNotifier
 from ..core.health_changes import HealthChanges
+from ..core.health_log import log_health_changes
 from ..core.discovery_timeouts import DiscoveryTimeouts
 from ..core.stall_detector import StallDetector
 from ..core.memory_budget import ENDED_MESSAGE_BYTES, OPEN_MESSAGE_BYTES, MemoryUse, divide_memory
@@ -37,6 +37,7 @@
 from ..core.tasks import restart_on_failure
 from ..journal import Attempt, End, Entry, Journal, JournalFull
 from ..recovery import indeterminate
+from ..recovery.damage_log import log_damage
 from ..recovery.cached_state import MOST_MEMBERS
 from ..recovery.state_cache import StateCache
 from ..recovery.recovery_phases import RecoveryCounter, Recovery
@@ -65,8 +66,6 @@
 _REPLICATION_TIMEOUT_S = 0.35  # a client waits 0.4 s for the response to its submission
 _LIST_SHARE = 1 / 32  # of the memory limit, for a response of discovery, which takes some sixteen times its size
 _MAX_ACCEPTED_IDS = 16_384  # of messages that are over
-_MAX_LOGGED_HEALTH_CHANGES = 10  # each time that the state is stored
-_MAX_LOGGED_DAMAGED_REGIONS = 20  # one log line each; the summary counts all
 
 
 @dataclass(slots=True, eq=False)
@@ -469,7 +468,7 @@
         """Store the current platform state for the next incarnation."""
         if self._state_cache and self._journal.may_act():
             started, known = self.resources.start(), self._engine.known()
-            self._log_health_changes(known)
+            log_health_changes(self._health_changes.since_last(known), self._clock.now())
             self.changed_since_saved = not self._state_cache.save(
                 self._clock.now(),
                 known,
@@ -480,28 +479,6 @@
             )
             self.resources.ended("storing the state", started, len(known.routes))
 
-    def _log_health_changes(self, known: i.RestoredState) -> None:
-        """Log which destinations began to fail or to serve, and when each may be called next."""
-        for change in islice(self._health_changes.since_last(known), _MAX_LOGGED_HEALTH_CHANGES):
-            wait_ms = max(0.0, to_ms(change.next_call_at) - self._clock.now())
-            logger.bind(
-                event="destination.health",
-                destination=change.dest,
-                before=change.before.value,
-                after=change.after.value,
-                failures=change.failures,
-                refusals=change.refusals,
-                next_call_ms=wait_ms,
-            ).info(
-                "destination {}: {}, {} before ({} failures, {} refusals; next call in {:.1f} s)",
-                change.dest,
-                change.after.value,
-                change.before.value,
-                change.failures,
-                change.refusals,
-                wait_ms / 1e3,
-            )
-
     def _storable(self) -> Sequence[dict[str, Any]]:
         """The endpoint list in the format of discovery; empty if it is too long to be stored."""
         return self._directory.storable_members() if len(self._directory) <= MOST_MEMBERS else ()
@@ -876,9 +853,9 @@
         if state_cache := self._state_cache:
             state_cache.correct_entries(entries)
             if restored_state := state_cache.restored_state(self._directory.number, now):
-                self._log_health_changes(restored_state)
+                log_health_changes(self._health_changes.since_last(restored_state), self._clock.now())
                 self.feed(restored_state)
-        self._log_damaged_regions()
+        log_damage(self._journal)
         if self._replicator:  # the coordination store decides who owns these
             self._awaiting_ownership = {entry.number: entry for entry in entries if self._replicator.covers(entry)}
             entries = [entry for entry in entries if entry.number not in self._awaiting_ownership]
@@ -1076,36 +1053,6 @@
         except JournalFull as err:  # the next incarnation comes to the same result
             logger.error("journal: {}", err)
 
-    def _log_damaged_regions(self) -> None:
-        """Log the first damaged regions of the journal by segment and offset, and how many messages are affected."""
-        journal = self._journal
-        if not journal.damage and not journal.orphans:
-            return
-        for region in journal.damage[:_MAX_LOGGED_DAMAGED_REGIONS]:
-            logger.bind(
-                event="recovery.damage",
-                segment=region.segment,
-                offset=region.offset,
-                length=region.length,
-                mended=region.repaired,
-            ).warning(
-                "journal: {} at {}: {} bytes are damaged: {}", region.segment, region.offset, region.length, region.what
-            )
-        entries = journal.entries.values()
-        counts = {
-            "stretches": len(journal.damage),
-            "mended": sum(region.repaired for region in journal.damage),
-            "doubtful": sum(entry.doubtful for entry in entries),
-            "bodiless": sum(open_entry.bodiless for open_entry in entries),
-            "orphans": journal.orphans,
-        }
-        logger.bind(event="recovery.damaged", **counts).error(
-            "journal: {stretches} damaged regions, {mended} of them repaired; {doubtful} open messages may lack the "
-            "record of an attempt or of their end and are retried only as their class allows; {bodiless} lost their "
-            "bodies and are ended; {orphans} are known from later records only, so that no notice can be sent for them",
-            **counts,
-        )
-
     async def _run_timers(self) -> None:
         """Pass each timer of the decision engine to it when due."""
         while True:
--- a/tests/intake/test_clients.py
+++ b/tests/intake/test_clients.py
@@ -159,7 +159,7 @@
                 await anyio.sleep(0.1)
                 self.assertLess(accepts - accepts_before, 30)  # accept is retried at intervals only
             self.assertEqual((await world.hand_in("a1")).status, 202)
-            self.assertGreaterEqual(world.clients._spare_descriptor, 0)
+            self.assertTrue(world.clients._spare.is_open)
 
     @in_world
     async def test_calls_notices_and_discovery_recover_from_a_lack_of_descriptors(self, world: World) -> None:
--- a/tests/intake/test_rude_clients.py
+++ b/tests/intake/test_rude_clients.py
@@ -55,27 +55,27 @@
         with anyio.move_on_after(ANSWER_S):
             for n in range(TRIES):
                 try:
-                    status = await self._hand_in(f"polite-{number}-{n}")
+                    status = await self._hand_in(f"polite-{number}-{n}", keep=number % 2 == 1)
                     break
                 except (OSError, anyio.EndOfStream, anyio.BrokenResourceError):
                     continue
             self.slowest_s = max(self.slowest_s, anyio.current_time() - began)
         self.statuses.append(status)
 
-    async def _hand_in(self, wire_id: str) -> int:
+    async def _hand_in(self, wire_id: str, keep: bool) -> int:
         stream, self._kept = self._kept, None
         stream = stream or await anyio.connect_tcp(self._world.client.host, self._world.client.port)
-        keep = False
+        reusable = False
         try:
             await stream.send(
                 f"POST /orders HTTP/1.1\r\nHost: r\r\nReq-Id: {wire_id}\r\nReq-Deadline-Ms: 5000\r\n"
                 f"Idempotency-Key: {wire_id}\r\nEnvelope: dest=7\r\nContent-Length: 2\r\n\r\nhi".encode()
             )
             data = await stream.receive()
-            keep = b"Connection: close" not in data and self._kept is None and wire_id.endswith(("1-0", "3-0", "5-0"))
+            reusable = keep and b"Connection: close" not in data and self._kept is None
             return int(data.split(b" ", 2)[1])
         finally:
-            if keep:
+            if reusable:
                 self._kept = stream
             else:
                 with anyio.CancelScope(shield=True):
--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -5,6 +5,7 @@
 import signal
 import socket
 import unittest
+from collections.abc import Callable
 
 import anyio
 from test_process import Program, ending
@@ -38,38 +39,29 @@
 
 
 class ClientsThatLeft(unittest.TestCase):
-    def test_a_request_whose_client_left_with_more_unread_behind_it_is_not_sent_on(self) -> None:
+    def leave_behind(self, sent: Callable[[str], bytes]) -> None:
+        """Clients send this to a relay that stands still, and close; one more stays. Only its message may be called."""
+
         async def test(world: World) -> None:
             program = Program(world)
             with ending(await program.start()) as process:
                 process.send_signal(signal.SIGSTOP)
                 for n in range(CLIENTS):
                     with connect(world) as client:
-                        client.sendall(request(f"left-{n}", READ_BYTES) + b"G" * 1_000)
+                        client.sendall(sent(f"left-{n}"))
                 process.send_signal(signal.SIGCONT)
                 self.assertEqual(await hand_in(world, "stays"), 202)
                 await until(lambda: world.endpoint.requests)
                 await anyio.sleep(0.5)
-                called = [sent.headers[b"req-id"] for sent in world.endpoint.requests]
-                self.assertEqual(called, [b"stays"])
+                self.assertEqual([call.headers[b"req-id"] for call in world.endpoint.requests], [b"stays"])
 
         play(test)
 
-    def test_a_request_whose_client_left_is_not_sent_on(self) -> None:
-        async def test(world: World) -> None:
-            program = Program(world)
-            with ending(await program.start()) as process:
-                process.send_signal(signal.SIGSTOP)
-                for n in range(CLIENTS):
-                    with connect(world) as client:
-                        client.sendall(request(f"left-{n}"))
-                process.send_signal(signal.SIGCONT)
-                self.assertEqual(await hand_in(world, "stays"), 202)
-                await until(lambda: world.endpoint.requests)
-                await anyio.sleep(0.5)
-                self.assertEqual([sent.headers[b"req-id"] for sent in world.endpoint.requests], [b"stays"])
+    def test_a_request_whose_client_left_with_more_unread_behind_it_is_not_sent_on(self) -> None:
+        self.leave_behind(lambda wire_id: request(wire_id, READ_BYTES) + b"G" * 1_000)
 
-        play(test)
+    def test_a_request_whose_client_left_is_not_sent_on(self) -> None:
+        self.leave_behind(request)
 
 
 class IdsThatComeAgain(unittest.TestCase):
