--- a/tests/intake/rude_clients.py
+++ b/tests/intake/rude_clients.py
@@ -125,6 +125,10 @@
     return b"\r\n" * 100
 
 
+def _sound(_n: int) -> bytes:
+    return _head(0).replace(b"/orders", b"/scores")
+
+
 def _pipelined(_n: int) -> bytes:
     return _head(0) * 20
 
@@ -149,6 +153,7 @@
     "new_field_names": _at_full_speed(_new_field),
     "health": _at_full_speed(_of_health),
     "empty_lines": _at_full_speed(_empty_lines),
+    "sound_messages": _at_full_speed(_sound),
     "pipelined": _at_full_speed(_pipelined),
 }
 KINDS = MANY | ONE
--- a/tests/intake/test_rude_clients.py
+++ b/tests/intake/test_rude_clients.py
@@ -5,12 +5,17 @@
 import json
 import os
 import resource
+import socket
+import struct
 import subprocess
 import sys
+import time
 import unittest
+from contextlib import suppress
 from pathlib import Path
 
 import anyio
+from ports import free_udp_port
 from test_process import Program, ending
 from world import World, play
 
@@ -22,6 +27,7 @@
 ANSWER_S = 0.4  # a client waits so long
 RUDE_END_S = 3.0  # a client that stops in the middle of a request gets its error or close within this time
 INTERVAL_S = 0.1  # between two messages of the polite client
+GROWTH_MB = 16  # a fifth of the budget that these settings give
 TRIES = 4  # connections for one message: those that are shut unread are replaced
 
 
@@ -82,6 +88,44 @@
                     await anyio.aclose_forcefully(stream)
 
 
+class RudePeers(unittest.TestCase):
+    def test_datagrams_of_ever_new_destinations_at_full_speed_delay_no_client_and_hold_no_memory(self) -> None:
+        async def test(world: World) -> None:
+            listen, peer = free_udp_port(), free_udp_port()
+            program = Program(world)
+            program.say(
+                {
+                    "discovery": str(world.platform.address),
+                    "limits": {"memory_mb": MEMORY_MB, "sockets": SOCKETS, "disk_mb": 3},
+                    "peer_listen": f"127.0.0.1:{listen}",
+                    "peers": [f"127.0.0.1:{listen}", f"127.0.0.1:{peer}"],
+                }
+            )
+            with ending(await program.start()) as process:
+                before = peak_mb(process.pid)
+                polite = PoliteClient(world)
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(anyio.to_thread.run_sync, flood, peer, listen, ONE_S)
+                    await polite.run(ONE_S)
+                self.assertEqual(polite.statuses.count(0), 0, polite.slowest_s)
+                self.assertLess(peak_mb(process.pid), before + GROWTH_MB)
+                self.assertIsNone(process.poll())
+
+        play(test)
+
+
+def flood(sender: int, receiver: int, seconds: float) -> None:
+    """Send notes on limits, each of 31 destinations that were never named before, as fast as they go."""
+    ends_at, dest = time.monotonic() + seconds, 0
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind(("127.0.0.1", sender))
+        sock.connect(("127.0.0.1", receiver))
+        while time.monotonic() < ends_at:
+            with suppress(OSError):
+                sock.send(b"\x01" + b"".join(struct.pack(">If", dest + n, 5.0) for n in range(31)))
+            dest += 31
+
+
 class RudeClients(unittest.TestCase):
     def beside(
         self, kind: str, clients: int, seconds: float = SECONDS, memory_mb: int = MEMORY_MB, sockets: int = SOCKETS
