--- a/tests/intake/test_rude_clients.py
+++ b/tests/intake/test_rude_clients.py
@@ -88,19 +88,25 @@
                     await anyio.aclose_forcefully(stream)
 
 
+def program_with(world: World, memory_mb: int = MEMORY_MB, sockets: int = SOCKETS, **more: object) -> Program:
+    program = Program(world)
+    limits = {"memory_mb": memory_mb, "sockets": sockets, "disk_mb": 3}
+    program.say({"discovery": str(world.platform.address), "limits": limits} | more)
+    return program
+
+
+def rude_clients(kind: str, world: World, clients: int, seconds: float) -> subprocess.Popen[bytes]:
+    program = str(Path(__file__).with_name("rude_clients.py"))
+    arguments = [kind, str(world.client.port), str(clients), str(seconds)]
+    return subprocess.Popen([sys.executable, program, *arguments], stdout=subprocess.PIPE)
+
+
 class RudePeers(unittest.TestCase):
     def test_datagrams_of_ever_new_destinations_at_full_speed_delay_no_client_and_hold_no_memory(self) -> None:
         async def test(world: World) -> None:
             listen, peer = free_udp_port(), free_udp_port()
-            program = Program(world)
-            program.say(
-                {
-                    "discovery": str(world.platform.address),
-                    "limits": {"memory_mb": MEMORY_MB, "sockets": SOCKETS, "disk_mb": 3},
-                    "peer_listen": f"127.0.0.1:{listen}",
-                    "peers": [f"127.0.0.1:{listen}", f"127.0.0.1:{peer}"],
-                }
-            )
+            peers = [f"127.0.0.1:{listen}", f"127.0.0.1:{peer}"]
+            program = program_with(world, peer_listen=peers[0], peers=peers)
             with ending(await program.start()) as process:
                 before = peak_mb(process.pid)
                 polite = PoliteClient(world)
@@ -131,26 +137,9 @@
         self, kind: str, clients: int, seconds: float = SECONDS, memory_mb: int = MEMORY_MB, sockets: int = SOCKETS
     ) -> None:
         async def test(world: World) -> None:
-            program = Program(world)
-            program.say(
-                {
-                    "discovery": str(world.platform.address),
-                    "limits": {"memory_mb": memory_mb, "sockets": sockets, "disk_mb": 3},
-                }
-            )
-            with ending(await program.start()) as process:
+            with ending(await program_with(world, memory_mb, sockets).start()) as process:
                 resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (sockets, sockets))
-                rude = subprocess.Popen(
-                    [
-                        sys.executable,
-                        str(Path(__file__).with_name("rude_clients.py")),
-                        kind,
-                        str(world.client.port),
-                        str(clients),
-                        str(seconds),
-                    ],
-                    stdout=subprocess.PIPE,
-                )
+                rude = rude_clients(kind, world, clients, seconds)
                 polite = PoliteClient(world)
                 with ending(rude):
                     await polite.run(seconds)
@@ -185,6 +174,22 @@
     def test_more_unfinished_requests_than_the_memory_holds_do_not_exhaust_it(self) -> None:
         self.beside("almost_a_body", 1_500, memory_mb=80, sockets=4_096)
 
+    def test_a_relay_that_restarts_into_them_serves_other_clients(self) -> None:
+        async def test(world: World) -> None:
+            program = program_with(world)
+            with ending(await program.start()), ending(rude_clients("many_fields", world, CLIENTS, 2 * SECONDS)):
+                await anyio.sleep(1.0)
+            with ending(rude_clients("many_fields", world, CLIENTS, 2 * SECONDS)):
+                await anyio.sleep(0.5)  # they connect in vain, again and again
+                with ending(await program.start()) as process:
+                    polite = PoliteClient(world)
+                    await polite.run(SECONDS / 2)
+                    self.assertEqual(polite.statuses.count(0), 0, polite.slowest_s)
+                    self.assertGreaterEqual(polite.statuses.count(202), len(polite.statuses) / 2)
+                    self.assertLess(peak_mb(process.pid), MEMORY_MB)
+
+        play(test)
+
     def test_chunks_of_one_byte_delay_no_other_client(self) -> None:
         self.beside("one_byte_chunks", CLIENTS)
 
