A refusal of a connection arrives whole where the kernel takes it in parts

A connection that cannot be admitted was answered by one send whose error or short count was ignored, read to its end and closed.

The test fails before and passes now.

--- a/calicohitch/intake/clients.py
+++ b/calicohitch/intake/clients.py
@@ -27,11 +27,11 @@
 from ..core.tasks import restart_on_failure
 from ..net.http import (
     Link,
+    Presence,
     Request,
     close_quietly,
     hang_up,
-    has_left,
-    has_unread,
+    presence,
     receive_at_once,
     send_at_once,
 )
@@ -290,8 +290,21 @@
     def _refuse_connection(self, sock: socket.socket, source: str, cause: str) -> None:
         """Answer a connection that is not admitted with 503 and Retry-After, and close it."""
         self.account.shed(cause, source)
-        with suppress(OSError):
-            sock.send(_CAPACITY_RESPONSE)
+        try:
+            sent = send_at_once(sock, _CAPACITY_RESPONSE)
+        except OSError:
+            close_quietly(sock)
+            return
+        if sent == len(_CAPACITY_RESPONSE):
+            hang_up(sock)
+        else:
+            assert self._tasks
+            self._tasks.start_soon(self._finish_refusal, sock, _CAPACITY_RESPONSE[sent:])
+
+    async def _finish_refusal(self, sock: socket.socket, remainder: bytes) -> None:
+        """Send the part of a refusal that the kernel did not take at once: its client may have sent a request."""
+        with suppress(OSError), anyio.move_on_after(_LINGER_TIMEOUT_S):
+            await Link(sock).send(remainder)
         hang_up(sock)
 
     def _pause_accepting(self) -> None:
@@ -495,14 +508,14 @@
         except RequestRejected as err:
             self._reject(session, err.status, str(err))
             return
-        if parsed is not None and has_unread(session.sock):
+        if parsed is None:
+            self._await_more(session, reader)
+        elif (found := presence(session.sock)) is Presence.SENT_MORE:
             self._reject(session, 400, MORE_THAN_ONE)
-        elif parsed is not None:
+        else:
             self.sessions.remove(session)
             self._drop_reader(session)
-            self._respond_now(session, parsed, waited_ms)
-        else:
-            self._await_more(session, reader)
+            self._respond_now(session, parsed, waited_ms, found is Presence.LEFT)
 
     def _await_more(self, session: ClientSession, reader: RequestReader) -> None:
         """A request is incomplete: count what it holds, and let it wait for more."""
@@ -569,8 +582,8 @@
             session.discardable = 0
             self._close(session)
 
-    def _respond_now(self, session: ClientSession, parsed: Complete, waited_ms: float) -> None:
-        response, number, submission = self._decide(session, parsed.request, waited_ms)
+    def _respond_now(self, session: ClientSession, parsed: Complete, waited_ms: float, has_left: bool) -> None:
+        response, number, submission = self._decide(session, parsed.request, waited_ms, has_left)
         session.message_accepted = number is not None
         if number is not None and submission and self._relay.awaits_replication(number):
             self._answering += 1
@@ -618,7 +631,7 @@
         self._deadline_added.notify()
 
     def _decide(
-        self, session: ClientSession, request: Request, waited_ms: float = 0.0
+        self, session: ClientSession, request: Request, waited_ms: float, has_left: bool
     ) -> tuple[SubmissionAnswer, int | None, Submission | None]:
         """The response to a complete request, and the number and the message to accept once it was sent."""
         if request.method == "GET" and request.path in ("/health/ready", "/health/live"):
@@ -633,7 +646,7 @@
         now = anyio.current_time() * 1e3
         if waited_ms:
             self._load.measured(now, waited_ms)
-        if has_left(session.sock):
+        if has_left:
             number: int | Refusal = Refusal.CLIENT_LEFT
         elif not self._load.admits(self.shares.known(session.source, now), waited_ms):
             number = Refusal.BUSY
--- a/calicohitch/net/http.py
+++ b/calicohitch/net/http.py
@@ -14,6 +14,7 @@
 from collections.abc import Awaitable, Callable, Iterable
 from contextlib import suppress
 from dataclasses import dataclass
+from enum import Enum
 
 import anyio
 import h11
@@ -131,23 +132,28 @@
         return not of_this_machine(error, Step.TRANSFER)
 
 
-def has_unread(sock: socket.socket) -> bool:
-    """Whether bytes have come that were not read yet."""
-    try:
-        return bool(sock.recv(1, socket.MSG_PEEK))
-    except OSError:
-        return False
+class Presence(Enum):
+    """What is known of the peer of a connection whose data was read."""
+
+    WAITING = "waiting"
+    SENT_MORE = "sent more"
+    LEFT = "left"  # it has closed the connection or ended its sending, whatever is unread
 
 
-def has_left(sock: socket.socket) -> bool:
-    """Whether the peer has closed the connection or ended its sending, even if bytes that came before are unread."""
+def presence(sock: socket.socket) -> Presence:
+    """Whether the peer is still there, and whether it has sent more. The kernel tells of its end in front of unread
+    bytes too; a peek shows those alone."""
     poll = select.poll()
-    poll.register(sock, select.POLLRDHUP)
+    poll.register(sock, select.POLLIN | select.POLLRDHUP)
     try:
         events = poll.poll(0)
     except OSError:
-        events = []
-    return any(event & _LEFT_EVENTS for _, event in events) or has_ended(sock)
+        return Presence.LEFT if has_ended(sock) else Presence.WAITING
+    if not events:
+        return Presence.WAITING
+    if events[0][1] & _LEFT_EVENTS or has_ended(sock):
+        return Presence.LEFT
+    return Presence.SENT_MORE if events[0][1] & select.POLLIN else Presence.WAITING
 
 
 def hang_up(sock: socket.socket) -> None:
--- a/tests/intake/test_clients.py
+++ b/tests/intake/test_clients.py
@@ -161,6 +161,39 @@
             self.assertEqual((await world.hand_in("a1")).status, 202)
             self.assertTrue(world.clients._spare.is_open)
 
+    @in_world
+    async def test_a_refusal_that_the_kernel_takes_in_parts_arrives_whole(self, world: World) -> None:
+        real_accept, real_send = socket.socket.accept, socket.socket.send
+        accepts = sends = 0
+
+        def accept(listener: socket.socket) -> Any:
+            nonlocal accepts
+            accepts += 1
+            if accepts % 2:  # every second accept uses the spare descriptor
+                raise OSError(errno.EMFILE, "Too many open files")
+            return real_accept(listener)
+
+        def send(sock: socket.socket, data: bytes, *rest: int) -> int:
+            nonlocal sends
+            if sock.getsockname()[1] != world.client.port:
+                return real_send(sock, data, *rest)
+            sends += 1
+            if sends % 3 == 1:
+                raise OSError(errno.ENOBUFS, "No buffer space available")
+            return real_send(sock, bytes(data)[:20], *rest)
+
+        async with world.relay():
+            with mock.patch("socket.socket.accept", accept), mock.patch("socket.socket.send", send):
+                for n in range(4):
+                    sock = connect(world, "127.0.0.2")
+                    real_send(sock, HEAD.format(n, n).encode())
+                    answer = b""
+                    while data := await Link(sock).receive():
+                        answer += data
+                    self.assertTrue(answer.startswith(b"HTTP/1.1 503"), answer)
+                    self.assertTrue(answer.endswith(b"no room for another connection"), answer)
+                    sock.close()
+
     @in_world
     async def test_calls_notices_and_discovery_recover_from_a_lack_of_descriptors(self, world: World) -> None:
         """Calls, notices and discovery all open sockets: each fails twenty times with EMFILE, and then recovers."""
