--- a/calicohitch/journal.py
+++ b/calicohitch/journal.py
@@ -318,7 +318,8 @@
         if number in self._segment_of:
             self._append_or_queue(_Kind.CLOSED, number, b"")
             self._forget(number)
-            self._delete_unneeded()
+            if self._now is None:  # else `delete_expired` does it, not at each message
+                self._delete_unneeded()
 
     def has_pending(self, number: int) -> bool:
         """Whether a record of this message is still to be written."""
@@ -430,7 +431,7 @@
         self._segments.append(_Segment(path, len(header), empty_size=len(header), clock_offset=0.0))
 
     def delete_expired(self) -> None:
-        """Delete the segments that were kept for the ids of their messages and are needed no more."""
+        """Delete the segments that are needed no more. To be called at intervals where a clock is given."""
         self._delete_unneeded()
 
     def _delete_unneeded(self) -> None:
