Every status that h11 hints at is answered

`answer` knew the phrases of nine statuses. A request with an unsupported or repeated Transfer-Encoding is 501 by h11, and since requests are parsed in turns that ended in a KeyError and a close without an answer. Found by reading the change; the two cases of the test failed before. A request that ran out of time is counted once in the log.

--- a/calicohitch/intake/clients.py
+++ b/calicohitch/intake/clients.py
@@ -459,12 +459,13 @@
         if session.scope:
             self.sessions.remove(session)  # its task has a time limit of its own
             return
-        if session.first or session.reader:
-            self.account.shed("out of time without a whole request", session.source)
+        cause = "out of time without a whole request"
         if session.reader:
-            self._reject(session, 408, "the request took too long")
-        else:
-            self._close(session)
+            self._end_request(session, answer(408, [], b"the request took too long", close=True), cause)
+            return
+        if session.first:
+            self.account.shed(cause, session.source)
+        self._close(session)
 
     # Requests.
 
--- a/calicohitch/intake/head.py
+++ b/calicohitch/intake/head.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from http import HTTPStatus
 
 from ..net.head import Head, Look, content_length, pattern, read_body, read_head
 from ..net.http import MAX_BODY, Request
@@ -68,17 +69,7 @@
     return head if isinstance(head, Look) else head.with_body(data)
 
 
-_PHRASES = {
-    200: b"OK",
-    202: b"Accepted",
-    400: b"Bad Request",
-    404: b"Not Found",
-    405: b"Method Not Allowed",
-    408: b"Request Timeout",
-    413: b"Request Entity Too Large",
-    431: b"Request Header Fields Too Large",
-    503: b"Service Unavailable",
-}
+_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
 def answer(status: int, headers: list[tuple[bytes, bytes]], body: bytes, close: bool) -> bytes:
--- a/tests/test_relay_rules.py
+++ b/tests/test_relay_rules.py
@@ -488,6 +488,11 @@
             (b"nonsense\r\n\r\n", b"400"),
             (b"POST /orders HTTP/1.1\r\nHost: r\r\nContent-Length: x\r\n\r\n", b"400"),
             (b"POST /orders HTTP/1.1\r\nHost: r\r\nContent-Length: 65537\r\n\r\n" + bytes(65_537), b"413"),
+            (b"POST /orders HTTP/1.1\r\nHost: r\r\nTransfer-Encoding: gzip\r\n\r\n", b"501"),
+            (b"POST /orders HTTP/1.1\r\nHost: r\r\n" + b"Transfer-Encoding: chunked\r\n" * 2 + b"\r\n", b"501"),
+            (b"POST /orders HTTP/1.1\r\nHost: r\r\n" + b"a:\r\n" * 3_000 + b"\r\n", b"431"),
+            (b"POST /orders HTTP/1.1\r\nHost: r\r\nX: " + b"x" * 20_000 + b"\r\n\r\n", b"431"),
+            (b"POST /orders HTTP/1.1\r\nHost: r\r\nTransfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 300, b"400"),
             (b"GET /health/ready HTTP/1.1\r\nHost: r\r\n\r\n", b"200"),
         ]
         async with world.relay():
