An incomplete later request makes room for a new connection as an incomplete first one does

Only connections without any complete request were looked at when one had to be shed. Those with a later request are now too, and one whose request was read in part for 0.1 s goes before silent new connections, of which a polite client's may be one.

--- a/calicohitch/intake/clients.py
+++ b/calicohitch/intake/clients.py
@@ -497,7 +497,8 @@
                 if session.message_accepted:
                     self._keep_alive_policy.was_used_again()
                 self.sessions.remove(session)
-                session.deadline = anyio.current_time() + _REQUEST_TIMEOUT_S
+                session.since = anyio.current_time()
+                session.deadline = session.since + _REQUEST_TIMEOUT_S
                 self.sessions.begun[session] = None
         session.reader.receive(data)
 
--- a/calicohitch/intake/sessions.py
+++ b/calicohitch/intake/sessions.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
-from itertools import islice
+from itertools import chain, islice
 
 import anyio
 
@@ -14,12 +14,13 @@
 
 _MAX_COMPARED = 32  # connections that are compared when one is shed
 SHED_GRACE_S = 0.3  # from the connect until the connection may be shed
-_UNFINISHED_GRACE_S = 0.1  # the same for one whose request was read in part, where nobody else can be shed
+_UNFINISHED_GRACE_S = 0.1  # the same for one whose request was read in part, where few others can be shed
 
 
 @dataclass(eq=False, slots=True)
 class ClientSession:
-    """One client connection. `since` is when it was accepted or last answered; times are in loop seconds."""
+    """One client connection. `since` is when it was accepted or last answered, or when its later request began; times
+    are in loop seconds."""
 
     sock: socket.socket
     source: str
@@ -79,29 +80,40 @@
     def next_due(self) -> float | None:
         return min((next(iter(group)).deadline for group in self._groups() if group), default=None)
 
+    def _oldest_incomplete(self) -> list[ClientSession]:
+        """Those without a complete request that have waited longest for one, on new and on kept connections."""
+        return [session for group in (self.fresh, self.begun) for session in islice(group, _MAX_COMPARED)]
+
     def to_shed(self, now: float, weight: Callable[[str], float], known: Callable[[str], bool]) -> ClientSession | None:
-        """The connection to shed. First choice: one that is answered and lingers. Then one without a complete request,
-        past its grace period, from the source with the greatest weight, and of those the oldest; not one of which
-        nothing was read yet, if it has sent something. Else the one that is longest between requests, whose client can
-        reconnect without loss; else any silent one. In these two cases, those of unknown sources come first. Last, one
-        of which something was read, past a shorter grace period."""
-        if self.lingering:
-            return next(iter(self.lingering))
-        late = [session for session in islice(self.fresh, _MAX_COMPARED) if now - session.since >= SHED_GRACE_S]
+        """The connection to shed: the first of these. One that is answered and lingers. One without a complete request,
+        past its grace period. A silent one between requests, of an unknown source. One of whose request a part was
+        read, past a shorter grace period. A silent new one, of an unknown source. A silent one between requests, whose
+        client can reconnect without loss. Any silent one. Within each the oldest, or longest between requests, comes
+        first."""
+
+        def is_unknown(session: ClientSession) -> bool:
+            return not known(session.source)
+
+        kept, fresh = islice(self.kept, _MAX_COMPARED), islice(self.fresh, _MAX_COMPARED)
+        choices = chain(
+            self.lingering,
+            self._late(now, weight),
+            filter(ClientSession.is_silent, filter(is_unknown, kept)),
+            self._unfinished(now),
+            filter(ClientSession.is_silent, filter(is_unknown, fresh)),
+            filter(ClientSession.is_silent, chain(self.kept, self.fresh)),
+        )
+        return next(choices, None)
+
+    def _late(self, now: float, weight: Callable[[str], float]) -> Iterator[ClientSession]:
+        """Without a complete request and past the grace period, those of the source with the greatest weight first; not
+        one of which nothing was read yet, if it has sent something."""
+        late = [session for session in self._oldest_incomplete() if now - session.since >= SHED_GRACE_S]
         for session in sorted(late, key=lambda session: weight(session.source), reverse=True):
             if session.scope or session.reader or not session.is_unread():
-                return session
-        unknown = (
-            session
-            for group in (self.kept, self.fresh)
-            for session in islice(group, _MAX_COMPARED)
-            if not known(session.source)
-        )
-        all_sessions = (session for group in (self.kept, self.fresh) for session in group)
-        unfinished = (
-            session
-            for session in islice(self.fresh, _MAX_COMPARED)
-            if session.reader and now - session.since >= _UNFINISHED_GRACE_S
-        )
-        silent = (session for candidates in (unknown, all_sessions) for session in candidates if session.is_silent())
-        return next(silent, None) or next(unfinished, None)
+                yield session
+
+    def _unfinished(self, now: float) -> Iterator[ClientSession]:
+        for session in self._oldest_incomplete():
+            if session.reader and now - session.since >= _UNFINISHED_GRACE_S:
+                yield session
--- a/tests/intake/rude_clients.py
+++ b/tests/intake/rude_clients.py
@@ -20,6 +20,7 @@
 _COMMON_FIELDS = b"Req-Deadline-Ms: 5000\r\nIdempotency-Key: k\r\nEnvelope: dest=7\r\n"
 _LARGEST_BODY = 64 << 10
 _PAUSE_S = 0.1
+_ANSWER_PAUSE_S = 0.01  # in which a request is answered
 _REOPEN_PAUSE_S = 0.01
 _FOREVER_S = 3_600.0
 
@@ -53,6 +54,12 @@
     yield _head(_LARGEST_BODY) + bytes(_LARGEST_BODY - 1)
 
 
+async def half_a_body_after_an_answer() -> Bytes:
+    yield _of_health(0)
+    await asyncio.sleep(_ANSWER_PAUSE_S)
+    yield _head(_LARGEST_BODY) + bytes(_LARGEST_BODY // 2)
+
+
 async def one_byte_chunks() -> Bytes:
     yield _REQUEST_LINE + b"Req-Id: c\r\n" + _COMMON_FIELDS + b"Transfer-Encoding: chunked\r\n\r\n"
     yield b"1\r\nx\r\n" * 2_000
@@ -140,6 +147,7 @@
         many_fields_only,
         half_a_body,
         almost_a_body,
+        half_a_body_after_an_answer,
         one_byte_chunks,
         slow_head,
         quick_bytes_of_a_head,
--- a/tests/intake/test_rude_clients.py
+++ b/tests/intake/test_rude_clients.py
@@ -171,6 +171,9 @@
     def test_requests_that_stop_half_way_delay_no_other_client(self) -> None:
         self.beside("half_a_body", CLIENTS)
 
+    def test_later_requests_that_stop_half_way_delay_no_other_client(self) -> None:
+        self.beside("half_a_body_after_an_answer", SOCKETS // 2)  # as many as a relay may have
+
     def test_more_unfinished_requests_than_the_memory_holds_do_not_exhaust_it(self) -> None:
         self.beside("almost_a_body", 1_500, memory_mb=80, sockets=4_096)
 
