A request that h11 has to parse waits for its further turn, and new connections come first

A request that is not common is left to the queue of those that had a turn, before h11 sees it, and that queue has 1 ms of a turn (one request at least) while new requests or connections wait. At the shutdown such a request is parsed to its end.

--- a/calicohitch/intake/clients.py
+++ b/calicohitch/intake/clients.py
@@ -65,6 +65,7 @@
 _MAX_ACCEPTS_PER_TURN = 64  # new connections
 _MAX_READS_PER_TURN = 16  # connections that are read before calls and timers run
 _MAX_STEP_S = 0.005  # of a turn's three: reading new requests, accepting, reading on
+_LEAST_STEP_S = 0.001  # of the third, while more new requests or connections wait
 _MAX_EVENTS_PER_TURN = 64  # readable sockets that are put into the queue
 _MAX_OVERDUE_PER_TURN = 16  # connections whose time is up
 _BUSY_TICK_INTERVAL_S, _IDLE_TICK_INTERVAL_S = 0.05, 0.5  # between two measurements of the loop's delay
@@ -162,24 +163,25 @@
 
     def _process_turn(self, readable: list[int], is_connecting: bool) -> None:
         """Process what is readable: new requests first, then new connections, then requests that had a turn already.
-        Each step ends after its share of the turn's time; what is left has the next turn."""
+        Each step ends after its share of the turn's time; what is left has the next turn. While more of the first two
+        wait, the third is short."""
         now = anyio.current_time()
         started, accepted_before = self._relay.resources.start(), self.account.accepted
         self._busy = True
         for fd in readable:
             if session := self._by_fd.get(fd):
                 self._put_into_queue(session, now)
-        reads = self._read_some(self._new_requests, _MAX_READS_PER_TURN, now)
-        if is_connecting:
-            self._accept()
-        reads += self._read_some(self._continued_requests, _MAX_READS_PER_TURN, now)
+        reads = self._read_some(self._new_requests, now, _MAX_STEP_S)
+        more_connect = is_connecting and self._accept()
+        step_s = _LEAST_STEP_S if more_connect or len(self._new_requests) else _MAX_STEP_S
+        reads += self._read_some(self._continued_requests, now, step_s)
         units = reads + self.account.accepted - accepted_before
         self._relay.resources.ended("reading and accepting clients", started, units)
 
-    def _read_some(self, queue: FairQueue[ClientSession], limit: int, now: float) -> int:
-        """Read connections in their turns; returns how many."""
-        ends_at, reads = time.perf_counter() + _MAX_STEP_S, 0
-        while reads < limit and (taken := queue.take(1)):
+    def _read_some(self, queue: FairQueue[ClientSession], now: float, step_s: float) -> int:
+        """Read connections in their turns, one at least; returns how many."""
+        ends_at, reads = time.perf_counter() + step_s, 0
+        while reads < _MAX_READS_PER_TURN and (taken := queue.take(1)):
             for session, since in taken:
                 session.queued = False
                 if session.closed or session.scope:
@@ -428,6 +430,8 @@
         for session in self.sessions.all():
             if session.is_unread():
                 self._read_guarded(session)
+            while session.reader and session.reader.has_work and not session.scope:
+                self._read_guarded(session)
         while self._answering and anyio.current_time() < deadline + _LINGER_TIMEOUT_S:
             await anyio.sleep(0.01)
 
--- a/calicohitch/intake/request_reader.py
+++ b/calicohitch/intake/request_reader.py
@@ -15,8 +15,6 @@
 from ..net.head import Look
 from ..net.http import Ambiguous, BodyTooLarge, Request
 from ..net.server_exchange import (
-    MAX_EVENTS_OF_FIRST_POLL,
-    MAX_EVENTS_PER_POLL,
     ChunksTooSmall,
     Progress,
     ServerExchange,
@@ -63,7 +61,16 @@
 class RequestReader:
     """Reads one request. `receive` takes bytes, `poll` gives the request once it is complete."""
 
-    __slots__ = ("_data", "_exchange", "_fields", "_head_size", "_message_size", "_searched", "has_work")
+    __slots__ = (
+        "_data",
+        "_exchange",
+        "_fields",
+        "_head_size",
+        "_is_uncommon",
+        "_message_size",
+        "_searched",
+        "has_work",
+    )
 
     def __init__(self) -> None:
         self._data: bytes | bytearray = b""
@@ -71,6 +78,7 @@
         self._fields = 0
         self._head_size = 0  # 0 while it is incomplete
         self._message_size = 0  # of a common request whose body is incomplete
+        self._is_uncommon = False  # h11 parses it
         self._exchange: ServerExchange | None = None
         self.has_work = False  # `poll` can go on without more data
 
@@ -106,13 +114,13 @@
 
     def poll(self) -> Complete | None:
         """The request, or None if it is incomplete or `has_work`. Raises RequestRejected."""
-        if self._exchange is not None:
-            return self._poll_exchange(self._exchange, MAX_EVENTS_PER_POLL)
+        if self._is_uncommon:
+            return self._poll_exchange(self._exchange or self._hand_to_h11())
         if self._message_size:
             if len(self._data) < self._message_size:
                 return None
             parsed = read(bytes(self._data))
-            return parsed if isinstance(parsed, Common) else self._hand_to_h11()
+            return self._common_or_left(parsed)
         self._head_size = self._find_head_end()
         return self._parse_head() if self._head_size else None
 
@@ -133,25 +141,36 @@
         data = bytes(self._data)
         head = read_common_head(data)
         if isinstance(head, Look):
-            return self._hand_to_h11()
+            self._leave_to_h11()
+            return None
         if len(data) < head.message_size:
             self._message_size = head.message_size
             return None
         parsed = head.with_body(data)
-        return parsed if isinstance(parsed, Common) else self._hand_to_h11()
+        return self._common_or_left(parsed)
+
+    def _common_or_left(self, parsed: Common | Look) -> Common | None:
+        if isinstance(parsed, Common):
+            return parsed
+        self._leave_to_h11()
+        return None
+
+    def _leave_to_h11(self) -> None:
+        """The next `poll` parses the request by h11, which takes much longer than what was done so far."""
+        self._is_uncommon = self.has_work = True
 
-    def _hand_to_h11(self) -> Complete | None:
+    def _hand_to_h11(self) -> ServerExchange:
         self._exchange, data = ServerExchange(), self._data
         self._data = b""
         self._exchange.receive_head(bytes(data[: self._head_size]))
         if len(data) > self._head_size:
             self._exchange.receive(data[self._head_size :])
-        return self._poll_exchange(self._exchange, MAX_EVENTS_OF_FIRST_POLL)
+        return self._exchange
 
-    def _poll_exchange(self, exchange: ServerExchange, max_events: int) -> Complete | None:
+    def _poll_exchange(self, exchange: ServerExchange) -> Complete | None:
         self.has_work = False
         try:
-            request = exchange.poll(max_events)
+            request = exchange.poll()
         except h11.RemoteProtocolError as err:
             raise RequestRejected(err.error_status_hint, _UNREADABLE) from err
         except Ambiguous as err:
--- a/calicohitch/net/server_exchange.py
+++ b/calicohitch/net/server_exchange.py
@@ -15,8 +15,7 @@
 from .http import MAX_BODY, Ambiguous, BodyTooLarge, Headers, Request, has_too_many_chunks
 
 MORE_THAN_ONE = "more than one request at a time"
-MAX_EVENTS_PER_POLL = 128
-MAX_EVENTS_OF_FIRST_POLL = 8  # a request in a few chunks has no more
+MAX_EVENTS_PER_POLL = 64
 _SLICE_BYTES = 4 << 10  # of a body, given to h11 at once
 _MAX_FRAMING_BYTES = 4 << 10  # of an incomplete chunk header or of incomplete trailers
 
@@ -73,9 +72,9 @@
         self._pending += data
         self._ended = self._ended or not data
 
-    def poll(self, max_events: int = MAX_EVENTS_PER_POLL) -> Request | Progress:
+    def poll(self) -> Request | Progress:
         """The request, once complete. Raises h11.RemoteProtocolError, Ambiguous, BodyTooLarge or ChunksTooSmall."""
-        for _ in range(max_events):
+        for _ in range(MAX_EVENTS_PER_POLL):
             event = self._http.next_event()
             if event is h11.NEED_DATA:
                 if not self._pending and not self._ended:
