A rejected request is a BadRequest, whose fields it repeated

`RequestRejected` had the status and the constructor of `BadRequest` a second time. Two lines of the reader are shorter.

--- a/calicohitch/intake/request_reader.py
+++ b/calicohitch/intake/request_reader.py
@@ -14,13 +14,9 @@
 
 from ..net.head import Look
 from ..net.http import Ambiguous, BodyTooLarge, Request
-from ..net.server_exchange import (
-    ChunksTooSmall,
-    Progress,
-    ServerExchange,
-)
+from ..net.server_exchange import ChunksTooSmall, Progress, ServerExchange
 from .head import Common, read, read_common_head
-from .submission import SubmissionAnswer
+from .submission import BadRequest, SubmissionAnswer
 
 MAX_HEAD_BYTES = 16 << 10
 MAX_FIELDS = 100
@@ -32,12 +28,8 @@
 _UNREADABLE = "the request cannot be read"
 
 
-class RequestRejected(Exception):
-    """A request that is not read to its end; `status` is the HTTP status of the response."""
-
-    def __init__(self, status: int, text: str) -> None:
-        super().__init__(text)
-        self.status = status
+class RequestRejected(BadRequest):
+    """A request that is not read to its end."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,8 +111,7 @@
         if self._message_size:
             if len(self._data) < self._message_size:
                 return None
-            parsed = read(bytes(self._data))
-            return self._common_or_left(parsed)
+            return self._common_or_left(read(bytes(self._data)))
         self._head_size = self._find_head_end()
         return self._parse_head() if self._head_size else None
 
@@ -146,8 +137,7 @@
         if len(data) < head.message_size:
             self._message_size = head.message_size
             return None
-        parsed = head.with_body(data)
-        return self._common_or_left(parsed)
+        return self._common_or_left(head.with_body(data))
 
     def _common_or_left(self, parsed: Common | Look) -> Common | None:
         if isinstance(parsed, Common):
