--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,75 +1,68 @@
-"""A partner whose kind takes several messages in a call comes back cold: do relays that saw it fail push it over?"""
+"""A kill right behind the 202s that end a long quiet time: are the untried messages called by the next life?"""
 
 from __future__ import annotations
 
 import asyncio
-import os
 import sys
 from pathlib import Path
 
-from cold import ColdEndpoint, Slots
-from stage import BEND, Registry, Stage, bend, member, play
+from stage import Registry, Stage, bend, member, play
 
 CASE = Path(__file__).resolve().parent
+QUIET_S = 34.0
+MESSAGES = 24
+TIME_MS = 28_000  # the class's deadline
 CELL = 3
-RELAYS = 3
-SLOTS = 12
-LIMIT, CAPACITY = 4.0, 5.5  # calls a second of one endpoint
-FAILS_S, FAIL_SHARE = 14.0, 0.8
-COLD_FROM = 0.2  # the site has 0.18 to 0.26, and the settings the least
-FALL_S, MULTIPLE, RAMP_S = BEND["fall"] / 1e6, BEND["tip_multiple"], BEND["ramp_time"] / 1e6
-PER_S = 4.5  # messages for the partner, of two endpoints
-BATCH = int(os.environ.get("BATCH", "10"))  # BATCH=1: the same with one message in a call
 
 
 async def course(stage: Stage) -> str:
     registry = Registry()
-    slots = Slots(stage.clients, SLOTS)
-    endpoints = []
-    for n in range(2):
-        made = ColdEndpoint(
-            f"s-{n}", CELL, stage.record, stage.clients, slots, LIMIT, CAPACITY, COLD_FROM, RAMP_S, MULTIPLE, FALL_S
-        )
-        await made.open()
-        stage.servers.append(made)
-        endpoints.append(made)
+    endpoints = [await stage.endpoint(f"s-{n}", CELL) for n in range(2)]
+    for endpoint in endpoints:
+        endpoint.work_s = 0.3
     registry.set(
         *(
-            member(made.name, made.address, CELL, size=LIMIT, flavor="major-partners", zone="building-a")
-            for made in endpoints
+            member(endpoint.name, endpoint.address, CELL, flavor="member-clubs", zone="building-a")
+            for endpoint in endpoints
         )
     )
-    relays = []
-    for n in range(RELAYS):
-        relay = stage.relay(f"n{n}", await stage.agent(registry, f"n{n}"), bend(RELAYS, n, SLOTS, [BATCH, 1]))
-        relay.known = registry.whole()
-        await relay.start()
-        relays.append(relay)
-    await asyncio.gather(*(relay.ready() for relay in relays))
-    turn = 0
-
-    async def traffic(for_s: float) -> None:
-        nonlocal turn
-        until = stage.record.now() + for_s * 1e3
-        while stage.record.now() < until:
-            turn += 1
-            cls, time_ms = ("game-update", 24_000) if turn % 2 else ("entry-payment", 28_000)
-            asyncio.ensure_future(stage.clients.hand_in(relays[turn // 2 % RELAYS], cls, CELL, time_ms))
-            await asyncio.sleep(1 / PER_S)
-
-    await traffic(12.0)
-    if stage.trouble:
-        for made in endpoints:
-            made.fails(FAIL_SHARE)
-    await traffic(FAILS_S)
+    agent = await stage.agent(registry, "n0")
+    relay = stage.relay("n0", agent, bend(3, 0, 12, [1, 1]))
+    relay.known = registry.whole()
+    await relay.start()
+    await relay.ready()
+    # One message that is delivered, then quiet.
+    await stage.clients.hand_in(relay, "entry-payment", CELL, TIME_MS)
+    await asyncio.sleep(QUIET_S)
+    ids = await asyncio.gather(*(stage.clients.hand_in(relay, "entry-payment", CELL, TIME_MS) for _ in range(MESSAGES)))
+    taken = [wire_id for wire_id in ids if wire_id]
     if stage.trouble:
-        for made in endpoints:
-            made.comes_back()
-    await traffic(14.0)
-    for made in endpoints:
-        since = [at for at, _ in made.calls if at >= made.back_at]
-        stage.record.add("judged", endpoint=made.name, calls_after_the_return=len(since), fallen=int(bool(made.fallen)))
-    return "; ".join(made.fallen for made in endpoints if made.fallen)
+        killed = await relay.kill()
+        tried = {wire_id for endpoint in endpoints for _, wire_id in endpoint.calls}
+        untried = [wire_id for wire_id in taken if wire_id not in tried]
+        stage.record.add("found", taken=len(taken), untried=len(untried))
+        await asyncio.sleep(0.6)
+        await relay.start()
+        await relay.ready()
+    else:
+        killed, untried = stage.record.now(), list(taken)
+    if len(untried) < 4:
+        raise RuntimeError(f"only {len(untried)} messages were untried")
+    half = killed + TIME_MS / 2
+    while stage.record.now() < half + 500:
+        await asyncio.sleep(0.1)
+    called = {wire_id for endpoint in endpoints for _, wire_id in endpoint.calls}
+    ended = {notice["message"]: at for at, notice in agent.notices}
+    # Given up early with no call: its end was told in the first half of its time, and it was never called.
+    given_up = [
+        wire_id
+        for wire_id in untried
+        if wire_id not in called and ended.get(wire_id, half) < stage.clients.taken[wire_id] + TIME_MS / 2
+    ]
+    stage.record.add("judged", untried=len(untried), given_up_early_with_no_call=len(given_up))
+    if 2 * len(given_up) > len(untried):
+        return f"{len(given_up)} of {len(untried)} messages that the restart found untried were given up with no call"
+    return ""
 
 
 sys.exit(play(CASE, course))
