--- a/review/lib2/far.py
+++ b/review/lib2/far.py
@@ -21,7 +21,7 @@
         self.name, self.cell = name, cell
         self._record, self._one_way_s, self._work_s = record, one_way_s, work_s
         self.copies_from = self.hangs_from = math.inf
-        self.hangs_to, self.copy_after_s = math.inf, 0.01
+        self.hangs_to, self.copy_after_s = math.inf, 0.02
         self.answered: dict[str, float] = {}  # id -> when its 200 was written
         self.calls: list[tuple[float, str]] = []
         self.copies = 0
