Silence alone confirms no delivery at an endpoint of which nothing is confirmed

Cause: before any response of an endpoint was confirmed each one passed as plausible, and the silence of an endpoint that hangs then confirmed it. So at each new process, endpoint or number, after a minute without a call, and after a takeover.

Change: without a confirmed response none on a connection out of sync is plausible; it needs an answered call of its time, or a response that is confirmed until it is judged. Responses before a doubtful one are judged without it. A connection on which a response was reported as failed carries no further call. While nothing is confirmed, a call takes a connection in sync, or a new one while fewer than two are idle.

Tests: test_a_copy_before_any_confirmed_response_is_no_delivery failed before with ([True], [True]) instead of ([True], []). The byte tests keep their calls on one connection by a patched bound.

--- a/calicohitch/core/protocols.py
+++ b/calicohitch/core/protocols.py
@@ -114,6 +114,10 @@
     def known(self) -> bool:
         return self._confirmed is not None
 
+    @property
+    def confirmed(self) -> bool:
+        return self._confirmed is True
+
     def resolve(self, confirmed: bool) -> None:
         """Called by the delivery, and by the relay if it waits no longer; only the first call counts."""
         if self.known:
--- a/calicohitch/net/connection_pool.py
+++ b/calicohitch/net/connection_pool.py
@@ -14,6 +14,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import math
 from collections import Counter, deque
 from collections.abc import Callable, Iterable, Iterator
@@ -41,6 +42,7 @@
 # come before it. Behind others the silence lasts until the call's time is over.
 _MAX_SILENCE_S = 2.0
 _CHECK_INTERVAL_S = 0.1
+_MAX_UNCONFIRMED_CONNECTIONS = 2  # idle ones of an endpoint, before any of its responses is confirmed
 
 PoolKey = tuple[int, Address]
 
@@ -63,7 +65,12 @@
     confirmation: Confirmation
     sent_at: float
     answered_at: float
-    trusted: bool  # plausible (`ResponseEvidence.call_answered`) or on a connection in sync, and no suspect endpoint's
+    in_sync: bool  # the connection was, when the call was sent
+    suspect: bool  # the endpoint was, when it answered
+
+    @property
+    def response_time_s(self) -> float:
+        return self.answered_at - self.sent_at
 
 
 @dataclass(eq=False, slots=True)
@@ -77,11 +84,13 @@
     idle_since: float = 0.0
     silent_from: float = 0.0
     implausible: int = 0  # responses that may have been left over, since silence last proved that none was
+    unproven: bool = False  # a response on it was reported as failed, and its own may still come: no further call
     provisional: deque[_Provisional] = field(default_factory=deque)
 
     def drop_known(self) -> None:
         """Forget the responses whose messages have been reported meanwhile."""
         if any(response.confirmation.known for response in self.provisional):
+            self.unproven = True
             self.provisional = deque(found for found in self.provisional if not found.confirmation.known)
 
     def take_provisional(self) -> deque[_Provisional]:
@@ -131,10 +140,22 @@
             self.retire(key[0])
             return None
         self._close_old(self.idle.get(key, ()))
-        idle = self.idle.get(key)
-        connection = idle[-1] if idle else None
+        connection = self._choose(key)
         return connection if connection and self._remove(connection) else None
 
+    def _choose(self, key: PoolKey) -> PooledConnection | None:
+        """An idle connection for the next call; None for a new one. Before any response of the endpoint is confirmed,
+        only the first one on a connection in sync can be, so that a few connections are opened for that."""
+        idle = self.idle.get(key)
+        if not idle:
+            return None
+        if self.evidence.has_confirmed(key[0]):
+            return idle[-1]
+        for connection in reversed(idle):
+            if self.is_in_sync(connection):
+                return connection
+        return idle[-1] if len(idle) >= _MAX_UNCONFIRMED_CONNECTIONS else None
+
     def is_in_sync(self, connection: PooledConnection) -> bool:
         """Whether it has carried no call, or silence has proved since that no response of its calls is left over."""
         unproven = connection.provisional or connection.implausible
@@ -146,24 +167,28 @@
         confirmation: Confirmation,
         sent_at: float,
         answered_at: float,
-        plausible: bool,
         in_sync: bool,
     ) -> None:
         """The last response ends its message, which confirms the one that is enough responses older. `in_sync`: the
         connection was so when the call was sent."""
-        may_be_left_over = not (plausible or in_sync)
-        trusted = not (may_be_left_over or self.is_suspect(connection.key[0]))
+        endpoint = connection.key[0]
+        response = _Provisional(confirmation, sent_at, answered_at, in_sync, self.is_suspect(endpoint))
         connection.drop_known()
-        connection.provisional.append(_Provisional(confirmation, sent_at, answered_at, trusted))
-        connection.implausible += may_be_left_over
-        is_proof = in_sync or self.evidence.has_confirmed(connection.key[0])
-        if trusted and is_proof and not connection.implausible:
+        connection.provisional.append(response)
+        may_be_left_over = not (in_sync or self.evidence.is_plausible(endpoint, response.response_time_s))
+        connection.implausible += may_be_left_over and self.evidence.has_confirmed(endpoint)
+        if self._is_trusted(endpoint, response) and not connection.implausible:
             connection.silent_from = min(connection.silent_from, answered_at + _MAX_SILENCE_S)
         while len(connection.provisional) > max(_MIN_LATER_RESPONSES, connection.implausible):
             self._confirm(connection, connection.provisional.popleft())
 
+    def _is_trusted(self, endpoint: int, response: _Provisional) -> bool:
+        """Whether the response is no earlier call's, by what is confirmed of its endpoint by now."""
+        own = response.in_sync or self.evidence.is_plausible(endpoint, response.response_time_s)
+        return own and not response.suspect
+
     def _confirm(self, connection: PooledConnection, response: _Provisional) -> None:
-        self.evidence.confirmed(connection.key[0], response.answered_at - response.sent_at)
+        self.evidence.confirmed(connection.key[0], response.response_time_s)
         response.confirmation.resolve(True)
 
     def give_back(self, connection: PooledConnection) -> None:
@@ -173,7 +198,7 @@
             self.retire_returned(connection)
         elif not connection.http.reusable:
             self.close_after_call(connection, CloseReason.NOT_REUSABLE)
-        elif not self._policy.may_reuse(connection.key[0], now):
+        elif connection.unproven or not self._policy.may_reuse(connection.key[0], now):
             self.retire_returned(connection)
         else:
             connection.idle_since = self._clock.now()
@@ -319,21 +344,39 @@
 
     def _judge(self, silent: _Silent) -> bool:
         """Judge the responses of one connection; False if it is not known yet what they are. One that may be another
-        call's makes the later ones doubtful as well."""
-        responses = [response for response in silent.responses if not response.confirmation.known]
-        if not responses:
-            return True
-        endpoint = silent.connection.key[0]
-        trusted = not silent.implausible and all(response.trusted for response in responses)
-        first, last = responses[0], responses[-1]
-        verdict = self.evidence.judge(endpoint, first.sent_at, last.answered_at, silent.silent_from, trusted)
-        if verdict is Verdict.CONFIRMED:
-            silent.connection.implausible -= silent.implausible
-            for response in responses:
-                self._confirm(silent.connection, response)
-        elif verdict is Verdict.REFUTED:
-            silent.refute()
-        return verdict is not Verdict.OPEN
+        call's makes the later ones doubtful as well, and not the earlier ones: these are judged first."""
+        endpoint, connection = silent.connection.key[0], silent.connection
+        while responses := [response for response in silent.responses if not response.confirmation.known]:
+            trusted = self._leading_trusted(silent, responses)
+            judged = trusted or responses
+            verdict = self.evidence.judge(
+                endpoint, judged[0].sent_at, judged[-1].answered_at, silent.silent_from, not trusted
+            )
+            if verdict is Verdict.OPEN:
+                return False
+            if verdict is Verdict.REFUTED:
+                silent.refute()
+                continue
+            for response in judged:
+                self._confirm(connection, response)
+        if all(response.confirmation.confirmed for response in silent.responses):
+            connection.implausible -= silent.implausible
+        else:
+            self._stop_reuse(connection)
+        return True
+
+    def _leading_trusted(self, silent: _Silent, responses: list[_Provisional]) -> list[_Provisional]:
+        """Those before the first response that may be another call's."""
+        if silent.implausible and not responses[0].in_sync:
+            return []
+        return list(
+            itertools.takewhile(lambda response: self._is_trusted(silent.connection.key[0], response), responses)
+        )
+
+    def _stop_reuse(self, connection: PooledConnection) -> None:
+        connection.unproven = True
+        if connection in self.idle.get(connection.key, ()):
+            self._remove_and_close(connection, CloseReason.RETIRED)
 
     def _confirm_all(self, connection: PooledConnection) -> None:
         for response in connection.take_provisional():
--- a/calicohitch/net/endpoints.py
+++ b/calicohitch/net/endpoints.py
@@ -223,7 +223,7 @@
         if exchange.not_wanted:
             self._keep(connection, still_wanted)
             return Result(Outcome.MOOT)
-        plausible = self._request_ended(exchange, connection)
+        self._request_ended(exchange, connection)
         if exchange.request is None:  # `wanted` failed, or the time was over: not a failure of the endpoint
             self._pool.close(connection, CloseReason.CALL_FAILED)
             if exchange.error is not None:
@@ -231,11 +231,11 @@
         elif exchange.error is not None:
             return self._broken(connection)
         elif exchange.response is not None:
-            return self._answered(exchange, connection, exchange.response, plausible, still_wanted)
+            return self._answered(exchange, connection, exchange.response, still_wanted)
         elif connection.http.sent and (response := connection.http.poll_response()):
             # The response may have arrived in the loop turn in which the time ran out. Its retry-after counts from
             # when it was written.
-            return self._answered(exchange, connection, response, False, False)
+            return self._answered(exchange, connection, response, False)
         else:
             self._pool.close_after_call(connection)
         if scope.cancelled_caught:
@@ -245,16 +245,16 @@
         self._pool.retire(exchange.key[0])
         return Result(Outcome.TIMEOUT if connection.http.sent else Outcome.CONNECT_FAILED)
 
-    def _request_ended(self, exchange: _Exchange, connection: PooledConnection) -> bool:
-        """Keep what the end of a call proves of its endpoint; returns whether its response is plausible."""
+    def _request_ended(self, exchange: _Exchange, connection: PooledConnection) -> None:
+        """Keep what the end of a call proves of its endpoint."""
         if (request := exchange.request) is None:
-            return False
+            return
         evidence = self._pool.evidence
         if not connection.http.answered:
             evidence.call_unanswered(request)
-            return False
+            return
         response_time_s = min(connection.http.answered_at, anyio.current_time()) - request.sent_at
-        return evidence.call_answered(request, response_time_s)
+        evidence.call_answered(request, response_time_s, exchange.in_sync)
 
     def _broken(self, connection: PooledConnection) -> Result:
         """The connection failed during the call, or its response was invalid."""
@@ -269,7 +269,6 @@
         exchange: _Exchange,
         connection: PooledConnection,
         response: Response,
-        plausible: bool,
         still_wanted: bool,
     ) -> Result:
         call, complete = exchange.call, response is exchange.response
@@ -291,9 +290,7 @@
         assert exchange.request
         confirmation = Confirmation()
         answered_at = connection.http.answered_at
-        self._pool.add_provisional(
-            connection, confirmation, exchange.request.sent_at, answered_at, plausible, exchange.in_sync
-        )
+        self._pool.add_provisional(connection, confirmation, exchange.request.sent_at, answered_at, exchange.in_sync)
         if complete:
             self._keep(connection, still_wanted)
         else:
--- a/tests/orders/test_attempts.py
+++ b/tests/orders/test_attempts.py
@@ -52,7 +52,9 @@
 
 
 async def served_once(world: Scripted) -> Link:
-    """A connection on which one call was answered, and which is kept."""
+    """A connection on which one call was answered, and which is kept. A response of the endpoint is confirmed, so that
+    the next call goes out on it."""
+    world.endpoints._pool.evidence.confirmed(1, 0.0)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(world.call)
         link = await world.accepted()
--- a/tests/orders/test_stray_bytes.py
+++ b/tests/orders/test_stray_bytes.py
@@ -48,6 +48,10 @@
 
 
 def run_test(test: Callable[[Scripted], Awaitable[None]]) -> None:
+    """Calls to an endpoint of which nothing is confirmed follow each other on one connection, as where no other is
+    free."""
+
+    @mock.patch("calicohitch.net.connection_pool._MAX_UNCONFIRMED_CONNECTIONS", 1)
     async def run() -> None:
         with anyio.fail_after(LIMIT):
             world = Scripted()
@@ -284,6 +288,46 @@
 
         self.assertEqual(self.judged(nothing, work_s=0.0), [])
 
+    def test_a_copy_before_any_confirmed_response_is_no_delivery(self) -> None:
+        """Guards against a delivery that silence alone confirms where the endpoint hangs and got no other call. The
+        first response, on a connection in sync, is one all the same, and the connection carries no further call."""
+
+        async def run(world: Scripted) -> None:
+            link = await answered(world, OK, work_s=2 * WORK_S)
+            first = known(world)
+            await answered(world, OK, link=link, work_s=0.0, timeout_ms=50)
+            second = known(world)
+            await anyio.sleep(0.06)
+            world.endpoints._pool.confirm_silent()
+            self.assertEqual((first, second), ([True], []))
+            assert world.result and world.result.confirmation
+            world.result.confirmation.resolve(False)  # as the relay does at the deadline
+            world.endpoints._pool.confirm_silent()
+            self.assertEqual(world.kept, 0)
+
+        run_test(run)
+
+    def test_a_response_no_sooner_than_one_that_is_confirmed_later_is_a_delivery(self) -> None:
+        async def run(world: Scripted) -> None:
+            link = await answered(world, OK)
+            await answered(world, OK, link=link, work_s=2 * WORK_S, timeout_ms=50)
+            second = known(world)
+            await anyio.sleep(0.06)
+            world.endpoints._pool.confirm_silent()
+            self.assertEqual(second, [True])
+
+        run_test(run)
+
+    def test_a_second_call_before_any_confirmed_response_has_a_connection_of_its_own(self) -> None:
+        async def run() -> None:
+            world = Scripted()
+            with anyio.fail_after(LIMIT):
+                links = [await answered(world, OK), await answered(world, OK)]
+            world.listener.close()
+            self.assertEqual((len(links), world.kept), (2, 2))
+
+        anyio.run(run)
+
     def test_a_response_to_a_later_call_confirms_one_that_came_soon(self) -> None:
         async def responds(world: Scripted, _link: Link) -> None:
             await self._call_elsewhere(world, 300, OK)
