An endpoint list of any allowed size outlasts a kill from the moment it is told

Cause: the list was part of the stored state, which holds 64 KiB. A longer one was left out without a word, and the next start took the configuration's older list for what had been told.

It is stored at a SIGHUP that moves discovery too, is used then whatever its revision, is stamped while it does not change, and is tried again where the disk refuses it. What the state leaves out for its size is logged once.

A list of 2,000 in the state is still left out, and the test of that now also asks that it is told.

--- a/calicohitch/net/discovery.py
+++ b/calicohitch/net/discovery.py
@@ -28,6 +28,7 @@
 _MAX_DESTINATIONS = 16_384  # that are remembered without an endpoint, while only changes are told
 _MAX_DEPARTED = 4_096  # endpoints that are remembered as draining or gone
 _PHASES = {"Ready": Phase.READY, "Terminating": Phase.DRAINING, "Gone": Phase.GONE}
+_PHASE_NAMES = {phase: name for name, phase in _PHASES.items()}
 
 
 class ListError(Exception):
@@ -65,6 +66,19 @@
     source: Mapping[str, Any] | None = field(default=None, compare=False, repr=False)
 
 
+def _member_object(member: Member) -> dict[str, Any]:
+    return {
+        "id": member.id,
+        "host_port": str(member.address) if member.address else "",
+        "locality": member.listed.zone,
+        "flavor": member.listed.kind,
+        "cell": member.listed.dest,
+        "phase": _PHASE_NAMES[member.listed.phase],
+        "size": member.listed.weight,
+        "up_since_ms": to_ms(member.listed.since),
+    }
+
+
 class Directory:
     """The known endpoints: the numbers that the decision engine uses for them, and their addresses. A number stands for
     one incarnation of an endpoint: one that is gone is forgotten, and if its id appears again, or with another start
@@ -79,7 +93,7 @@
         self._dests: dict[int, None] = {}
         self._newest_revision = -1
         self._parsed_ahead: dict[str, Member] = {}  # members of the next response that were parsed ahead, by id
-        self._storable: list[dict[str, Any]] | None = None  # cached result of `storable_members`
+        self._changed: dict[str, None] = {}  # ids of the members that changed since `take_changes`
         self._departed: dict[str, int] = {}  # id of an endpoint that is draining or gone -> start time, in us
 
     def knows(self, dest: int) -> bool:
@@ -139,7 +153,7 @@
                 changes.append(gone)
             entries.append(member.listed)
             changes.append(member.listed)
-            self._storable = None
+            self._changed[member.id] = None
             if member.listed.phase is Phase.READY:
                 self._departed.pop(member.id, None)
             else:
@@ -208,29 +222,22 @@
         if len(self._departed) > _MAX_DEPARTED:
             del self._departed[next(iter(self._departed))]
 
-    def storable_members(self) -> list[dict[str, Any]]:
-        """All endpoints that are not gone, as member objects of discovery; rebuilt only after a change."""
-        if self._storable is None:
-            self._storable = self._build_storable()
-        return self._storable
-
     def __len__(self) -> int:
         return len(self._members)
 
-    def _build_storable(self) -> list[dict[str, Any]]:
-        phases = {phase: name for name, phase in _PHASES.items()}
+    def storable_members(self) -> list[dict[str, Any]]:
+        """All endpoints that are not gone, as member objects of discovery."""
+        return [_member_object(member) for member in self._members.values()]
+
+    def take_changes(self) -> list[dict[str, Any]]:
+        """The endpoints that changed since the last call, as member objects of discovery; of those that are gone, id
+        and phase."""
+        changed, self._changed = self._changed, {}
         return [
-            {
-                "id": member.id,
-                "host_port": str(member.address) if member.address else "",
-                "locality": member.listed.zone,
-                "flavor": member.listed.kind,
-                "cell": member.listed.dest,
-                "phase": phases[member.listed.phase],
-                "size": member.listed.weight,
-                "up_since_ms": to_ms(member.listed.since),
-            }
-            for member in self._members.values()
+            _member_object(self._members[self._numbers[name]])
+            if name in self._numbers
+            else {"id": name, "phase": _PHASE_NAMES[Phase.GONE]}
+            for name in changed
         ]
 
     def number(self, name: str) -> int | None:
@@ -240,7 +247,7 @@
     def _forget(self, endpoint: int) -> None:
         if member := self._members.pop(endpoint, None):
             del self._numbers[member.id]
-            self._storable = None
+            self._changed[member.id] = None
 
     def _parse_member(self, item: dict[str, Any]) -> Member:
         phase, name = _PHASES[item["phase"]], str(item["id"])
--- a/calicohitch/net/relay.py
+++ b/calicohitch/net/relay.py
@@ -11,7 +11,7 @@
 from collections import deque
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import anyio
 from anyio.abc import TaskGroup
@@ -38,7 +38,7 @@
 from ..journal import Attempt, End, Entry, Journal, JournalFull
 from ..recovery import indeterminate
 from ..recovery.damage_log import log_damage
-from ..recovery.cached_state import MOST_MEMBERS
+from ..recovery.endpoint_list import NO_REVISION
 from ..recovery.state_cache import StateCache
 from ..recovery.recovery_phases import RecoveryCounter, Recovery
 from ..decisions import DecisionEngine
@@ -141,7 +141,7 @@
         self._timer_set = anyio.Event()
         self._tasks: TaskGroup | None = None
         self.ready = self.stopping = False
-        self.changed_since_saved = False
+        self.changed_since_saved = self._list_changed = False
         self.max_clients = config.limits.sockets // 2
         self._directory = Directory(config.names, protocol_of)
         backoff = Backoff(settings.couriers, config.seed)
@@ -237,6 +237,7 @@
         self._config = replace(self._config, discovery=config.discovery)
         self._discovery.move(config.discovery)
         self._notices.move(config.discovery)
+        self._save_list(moved=True)  # what this life acts on, until the new address answers
 
     @property
     def idle(self) -> bool:
@@ -463,6 +464,8 @@
             state_cache, changed = self._state_cache, self._open or self.changed_since_saved
             if state_cache and self.ready and changed and state_cache.due(self._clock.now()):
                 self.save_state()
+            if state_cache and len(self._directory) and (self._list_changed or state_cache.list_due(self._clock.now())):
+                self._save_list()
 
     def save_state(self) -> None:
         """Store the current platform state for the next incarnation."""
@@ -473,15 +476,22 @@
                 self._clock.now(),
                 known,
                 self._name_of,
-                str(self._config.discovery),
-                self._discovery.version,
-                self._storable,
             )
             self.resources.ended("storing the state", started, len(known.routes))
 
-    def _storable(self) -> Sequence[dict[str, Any]]:
-        """The endpoint list in the format of discovery; empty if it is too long to be stored."""
-        return self._directory.storable_members() if len(self._directory) <= MOST_MEMBERS else ()
+    def _save_list(self, moved: bool = False) -> None:
+        """Store the endpoint list for the next incarnation. `moved`: discovery has another address."""
+        if self._state_cache and self._journal.may_act():
+            started, changes = self.resources.start(), self._directory.take_changes()
+            self._list_changed = not self._state_cache.save_list(
+                self._clock.now(),
+                str(self._config.discovery),
+                self._discovery.version,
+                changes,
+                self._directory.storable_members,
+                moved,
+            )
+            self.resources.ended("storing the list", started, len(changes))
 
     def _name_of(self, endpoint: int) -> str:
         member = self._directory.get(endpoint)
@@ -512,10 +522,9 @@
             if entry.phase is not i.Phase.READY:
                 for delivery in self._deliveries.values():
                     delivery.close_idle(entry.endpoint)
-        if self.ready and self._storable():
-            # Before another byte is sent: after a kill the next incarnation may find discovery down, and must not call
-            # an endpoint that this one was told is gone.
-            self.save_state()
+        # Before another byte is sent: after a kill the next incarnation may find discovery down, and must not call an
+        # endpoint that this one was told is gone.
+        self._save_list()
 
     def _carry_out(self, action: i.Action) -> None:
         match action:
@@ -832,16 +841,16 @@
         if state_cache := self._state_cache:
             revision = self._config.known.get("revision", -1) if self._config.known else -1
             state_cache.read(self._clock.now(), str(self._config.discovery), revision if type(revision) is int else -1)
-            if (cached_state := state_cache.validated) and cached_state.members:
-                stored = {"revision": cached_state.revision, "complete": True, "members": list(cached_state.members)}
-                lists.insert(0, (stored, "an earlier run"))
+            if stored := state_cache.endpoint_list:
+                found = {"revision": stored.revision, "complete": True, "members": list(stored.members.values())}
+                lists.insert(0, (found, "an earlier run"))
         for stored_list, source in lists:
             if not stored_list:
                 continue
             try:
                 update = self._directory.read(stored_list)
                 self.feed(update.event(cached=True))
-                if update.complete:
+                if update.complete and update.version != NO_REVISION:
                     self._discovery.has(update.version)
                 return
             except ListError as err:
--- a/calicohitch/recovery/cached_state.py
+++ b/calicohitch/recovery/cached_state.py
@@ -10,7 +10,7 @@
 import json
 import math
 import zlib
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 from typing import Any
 
@@ -19,8 +19,6 @@
 
 FORMAT = 1
 MAX_STATE_BYTES = 64 << 10
-MOST_MEMBERS = MAX_STATE_BYTES // 100  # no member takes fewer bytes: a longer list is left out before it is encoded
-MAX_LIST_AGE_MS = 600_000.0  # discovery is polled anyway; an older list names too few endpoints that still exist
 MAX_LIMIT_AGE_MS = 30_000.0  # the first answer replaces it; destinations change their limits within a minute
 MAX_HEALTH_AGE_MS = 10_000.0  # the longest slow start on the platform
 MAX_ON_TIME_AGE_MS = 60_000.0  # 100 messages of a class end in about that time
@@ -88,9 +86,10 @@
 
 @dataclass(frozen=True, slots=True)
 class CachedState:
-    """All that is cached. `members`: in the form that discovery returns. `on_time`: by class, the number of messages
-    that ended in time and the number of all that ended. `overload_doublings`: by the number of a kind of
-    destinations."""
+    """All that is cached. `discovery`, `revision`, `members`: the endpoint list, in the form that discovery returns, in
+    a state that an older program stored; now it has files of its own (`endpoint_list`). `on_time`: by class, the
+    number of messages that ended in time and the number of all that ended. `overload_doublings`: by the number of a
+    kind of destinations."""
 
     written: Moment
     incarnation: int = 0
@@ -113,8 +112,6 @@
 
     passed: float
     set_by: float
-    members: tuple[Mapping[str, Any], ...] = ()
-    revision: int = -1
     routes: tuple[KnownRoute, ...] = ()
     on_time: Mapping[str, tuple[int, int]] = field(default_factory=dict)
     left_out: tuple[tuple[str, float, str], ...] = ()
@@ -124,26 +121,31 @@
     overload_doublings: tuple[tuple[int, int], ...] = ()
 
 
-def encode(state: CachedState) -> bytes:
-    """A checksum and one line of JSON. What does not fit into `MAX_STATE_BYTES` is left out: first what is known of
-    healthy destinations, then the endpoint list, then what is known of all destinations."""
+def encode(state: CachedState, left_out: Callable[[str, int], None] = lambda _part, _size: None) -> bytes:
+    """A checksum and one line of JSON. What does not fit into `MAX_STATE_BYTES` is left out, and `left_out` is told of
+    each part and of the size with it: first what is known of healthy destinations, then the endpoint list, then what
+    is known of all destinations."""
     record = _record(state)
     sick = [_destination_record(known) for known in state.destinations if not known.healthy]
-    reductions: tuple[dict[str, Any], ...] = (
-        {},
-        {"destinations": sick},
-        {"members": [], "revision": -1},
-        {"destinations": [], "pacing": []},
+    reductions: tuple[tuple[str, dict[str, Any]], ...] = (
+        ("healthy destinations", {"destinations": sick}),
+        ("the list", {"members": [], "revision": -1}),
+        ("destinations and pacing", {"destinations": [], "pacing": []}),
     )
-    data = b""
-    for reduction in reductions:
-        record |= reduction
-        data = json.dumps(record, separators=(",", ":")).encode()
+    data = _json(record)
+    for part, reduction in reductions:
         if len(data) <= MAX_STATE_BYTES:
             break
+        left_out(part, len(data))
+        record |= reduction
+        data = _json(record)
     return b"%08x " % zlib.crc32(data) + data
 
 
+def _json(record: dict[str, Any]) -> bytes:
+    return json.dumps(record, separators=(",", ":")).encode()
+
+
 def _record(state: CachedState) -> dict[str, Any]:
     """The fields as they are stored. An older program ignores those that it does not know, and a newer one does without
     those that are missing: fields are added, and none changes."""
@@ -301,29 +303,11 @@
         return None
 
 
-def validate(
-    state: CachedState,
-    now: Moment,
-    discovery: str,
-    known_revision: int,
-    classes: Sequence[str],
-    waits_outlast: bool = False,
-) -> ValidatedState:
-    """What of the cached state is valid at `now`, by its age and the configuration. `known_revision`: the revision of
-    the endpoint list in the configuration, -1 for none. `waits_outlast`: a retry-after outlasts a restart."""
+def validate(state: CachedState, now: Moment, classes: Sequence[str], waits_outlast: bool = False) -> ValidatedState:
+    """What of the cached state is valid at `now`, by its age and the configuration. `waits_outlast`: a retry-after
+    outlasts a restart."""
     gap = between(state.written, now)
     age, left_out = gap.passed, []
-    members, revision = state.members, state.revision
-    if members and (state.discovery != discovery or revision <= known_revision or age > MAX_LIST_AGE_MS):
-        reason = (
-            "it is from another discovery service"
-            if state.discovery != discovery
-            else "it is too old"
-            if age > MAX_LIST_AGE_MS
-            else "the configured list is as new"
-        )
-        left_out.append(("the list", age, reason))
-        members, revision = (), -1
     routes = []
     for route in state.routes:
         fresh, healthy = age <= MAX_LIMIT_AGE_MS, age <= MAX_HEALTH_AGE_MS
@@ -354,8 +338,6 @@
     return ValidatedState(
         age,
         gap.set_by,
-        tuple(members),
-        revision,
         tuple(routes),
         on_time,
         tuple(left_out),
--- a/calicohitch/recovery/state_cache.py
+++ b/calicohitch/recovery/state_cache.py
@@ -14,10 +14,13 @@
 from ..interface import RestoredState
 from ..journal import Entry
 from . import cached_state, clocks, state_conversion
+from .endpoint_list import MAX_LIST_AGE_MS, NO_REVISION, InvalidListRecord, ListChange, StoredList, reason_against
+from .list_files import EndpointListFiles
 from .state_files import StateFiles
 
 _LOGGED_CLOCK_CHANGE_MS = 1_000.0  # synchronised clocks are set by less
 _SAVE_INTERVAL_MS = 1_000.0  # while something changes or work is open
+_LIST_SAVE_INTERVAL_MS = MAX_LIST_AGE_MS / 4  # while the list does not change
 
 
 class StateCache:
@@ -25,15 +28,49 @@
 
     def __init__(self, folder: Path, incarnation: int, classes: Sequence[str], waits_outlast: bool = False) -> None:
         self._files, self._incarnation, self._classes = StateFiles(folder), incarnation, classes
+        self._list_files = EndpointListFiles(folder)
+        self._list_saved_at = -_LIST_SAVE_INTERVAL_MS
+        self._list_problem: str | None = None  # with the last write of the list
+        self._left_out: set[str] = set()  # parts of the state that did not fit and are logged
         self._waits_outlast = waits_outlast
         self._saved_at = -_SAVE_INTERVAL_MS
         self._save_failed = False
         self.found: cached_state.CachedState | None = None  # as it was stored
         self.validated: cached_state.ValidatedState | None = None  # what of it is valid
+        self.endpoint_list: StoredList | None = None  # that an earlier incarnation acted on, if it is valid
 
     def read(self, wall: float, discovery: str, known_revision: int) -> None:
         """Load what an earlier incarnation stored, as far as it is valid at `wall`; each other part is logged with its
-        age."""
+        age. `known_revision`: the revision of the endpoint list in the configuration, -1 for none."""
+        self._read_state(wall)
+        self._read_list(wall, discovery, known_revision)
+
+    def _read_list(self, wall: float, discovery: str, known_revision: int) -> None:
+        try:
+            stored = self._list_files.read()
+        except InvalidListRecord as err:
+            stored = None
+            logger.bind(event="recovery.unread").warning(
+                "the endpoint list of an earlier incarnation is not used: {}", err
+            )
+        stored = self._newer_list(stored)
+        if stored is None:
+            return
+        now = clocks.now(wall)
+        if (reason := reason_against(stored, now, discovery, known_revision)) is None:
+            self.endpoint_list = stored
+        else:
+            self._log_left_out("the list", clocks.between(stored.written, now).passed, reason)
+
+    def _newer_list(self, stored: StoredList | None) -> StoredList | None:
+        """The list of the files or, if it was stored later, the one in the state, where an older program put it."""
+        state = self.found
+        if state is None or not state.members or stored and stored.written.wall >= state.written.wall:
+            return stored
+        members = {str(member.get("id")): member for member in state.members}
+        return StoredList(state.written, state.discovery, state.revision, members)
+
+    def _read_state(self, wall: float) -> None:
         try:
             self.found = self._files.read()
         except cached_state.InvalidCachedState as err:
@@ -44,19 +81,21 @@
         if self.found is None:
             return
         now = clocks.now(wall)
-        validated = self.validated = cached_state.validate(
-            self.found, now, discovery, known_revision, self._classes, self._waits_outlast
-        )
+        validated = self.validated = cached_state.validate(self.found, now, self._classes, self._waits_outlast)
         for part, age, reason in validated.left_out:
-            logger.bind(event="recovery.old", part=part, age_ms=age).info(
-                "cached state not used: {}, {:.1f} s old: {}", part, age / 1e3, reason
-            )
+            self._log_left_out(part, age, reason)
         if abs(validated.set_by) > _LOGGED_CLOCK_CHANGE_MS:
             logger.bind(event="recovery.clock", set_by_ms=validated.set_by).warning(
                 "the wall clock was set by {:+.1f} s since an earlier incarnation: its times are corrected",
                 validated.set_by / 1e3,
             )
 
+    @staticmethod
+    def _log_left_out(part: str, age: float, reason: str) -> None:
+        logger.bind(event="recovery.old", part=part, age_ms=age).info(
+            "cached state not used: {}, {:.1f} s old: {}", part, age / 1e3, reason
+        )
+
     def correct_entries(self, entries: Sequence[Entry]) -> None:
         """Convert the times of messages of an earlier incarnation to the present wall clock. If the folder may be an
         old copy, mark all of them doubtful: attempts made since the copy are missing from it."""
@@ -93,36 +132,58 @@
         """Whether the save interval has passed; checked before the state is gathered."""
         return wall - self._saved_at >= _SAVE_INTERVAL_MS
 
-    def save(
-        self,
-        wall: float,
-        known: RestoredState,
-        name: Callable[[int], str],
-        discovery: str,
-        revision: int | None,
-        members: Callable[[], Sequence[dict[str, Any]]],
-    ) -> bool:
-        """Store the present state; False if the disk refuses it. `members`: in the form that discovery returns. Routes
-        without any known state are left out."""
+    def save(self, wall: float, known: RestoredState, name: Callable[[int], str]) -> bool:
+        """Store the present state; False if the disk refuses it. Routes without any known state are left out."""
         self._saved_at = wall
         on_time = dict(zip(self._classes, known.on_time, strict=True))
         state = cached_state.CachedState(
             clocks.now(wall),
             self._incarnation,
-            discovery,
-            -1 if revision is None else revision,
-            tuple(members()),
-            state_conversion.known_routes(known, name),
-            on_time,
-            state_conversion.known_pacing(known, name),
-            state_conversion.known_destinations(known),
-            known.overload_doublings,
+            routes=state_conversion.known_routes(known, name),
+            on_time=on_time,
+            pacing=state_conversion.known_pacing(known, name),
+            destinations=state_conversion.known_destinations(known),
+            overload_doublings=known.overload_doublings,
         )
         try:
-            self._files.write(cached_state.encode(state))
+            self._files.write(cached_state.encode(state, self._log_too_long))
             self._save_failed = False
         except OSError as err:  # the journal still works; the next incarnation starts with less
             if not self._save_failed:
                 logger.warning("the cached state could not be stored: {}", err)
             self._save_failed = True
         return not self._save_failed
+
+    def _log_too_long(self, part: str, size: int) -> None:
+        if part not in self._left_out:
+            self._left_out.add(part)
+            logger.warning("the state takes {} bytes and is stored without a part: {}", size, part)
+
+    def list_due(self, wall: float) -> bool:
+        """Whether the stored list has to be written again, unchanged, so that it does not count as old."""
+        return wall - self._list_saved_at >= _LIST_SAVE_INTERVAL_MS
+
+    def save_list(
+        self,
+        wall: float,
+        discovery: str,
+        revision: int | None,
+        changes: Sequence[dict[str, Any]],
+        members: Callable[[], Sequence[dict[str, Any]]],
+        moved: bool = False,
+    ) -> bool:
+        """Store the endpoint list; False if the disk refuses it. `changes`: the members that differ since the last
+        call, `members`: all, in the form that discovery returns. `moved`: discovery has another address."""
+        now, stored_revision = clocks.now(wall), NO_REVISION if revision is None else revision
+        try:
+            if moved or self._list_files.needs_snapshot:
+                by_id = {member["id"]: member for member in members()}
+                self._list_files.write_snapshot(StoredList(now, discovery, stored_revision, by_id))
+            else:
+                self._list_files.append(ListChange(now, stored_revision, changes))
+            self._list_problem, self._list_saved_at = None, wall
+        except OSError as err:  # tried again; until then the next incarnation has the list from before
+            if self._list_problem != str(err):
+                logger.warning("the endpoint list could not be stored: {}", err)
+            self._list_problem = str(err)
+        return self._list_problem is None
--- a/tests/faults/test_stored_state.py
+++ b/tests/faults/test_stored_state.py
@@ -26,7 +26,7 @@
             state_cache = StateCache(Path(name), 1, ("orders",))
 
             def save(wall: float) -> None:
-                state_cache.save(wall, RestoredState((), ((1, 2),)), str, "d", int(wall), list)
+                state_cache.save(wall, RestoredState((), ((1, 2),)), str)
 
             save(1e12)
             real, killed = os.write, [False]
@@ -46,7 +46,7 @@
             later.read(1e12 + 5_000, "d", -1)
             self.assertIsNotNone(later.found)
             assert later.found
-            self.assertEqual(later.found.revision, int(1e12))
+            self.assertEqual(later.found.written.wall, 1e12)
 
 
 if __name__ == "__main__":
--- a/tests/faults/test_sweep.py
+++ b/tests/faults/test_sweep.py
@@ -113,7 +113,7 @@
         for _ in range(count):
             journal.record_accepted(entry(journal.next_number))
         left = set(journal._segment_of)
-        memory.save(1e12, RestoredState((), ((1, 2),)), str, "d", 1, list)
+        memory.save(1e12, RestoredState((), ((1, 2),)), str)
         journal.close()
         lease.close()
     oldest = min(folder.glob("journal-*.log"))
@@ -138,7 +138,7 @@
             self._take(step)
             if step % 3 == 0:
                 self.lease.renew()
-                self.memory.save(1e12 + step * 2_000.0, RestoredState((), ((1, 2),)), str, "d", 1, list)
+                self.memory.save(1e12 + step * 2_000.0, RestoredState((), ((1, 2),)), str)
             for number in sorted(self.known.taken)[-3:]:
                 self._try(number)
             self._end(step)
--- a/tests/orders/test_discovery_updates.py
+++ b/tests/orders/test_discovery_updates.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+import errno
 import json
 import math
 import unittest
+from dataclasses import replace
 from typing import Any
 from unittest import mock
 
 import anyio
-from world import LIMIT, SETTINGS, Party, World, in_world, member, until
+from world import HERE, LIMIT, SETTINGS, Party, World, in_world, member, until
 
 from calicohitch.config import Address
 from calicohitch.config.settings import Names
@@ -17,9 +19,11 @@
 from calicohitch.core.discovery_timeouts import WATCH_MS, DiscoveryTimeouts
 from calicohitch.interface import Phase
 from calicohitch.net.discovery import Directory, ListError
+from calicohitch.net.http import listen
+from calicohitch.net.relay import Relay
 from calicohitch.net.server_client import Moved, ServerClient
 from calicohitch.recovery import state_cache
-from calicohitch.recovery.state_files import StateFiles
+from calicohitch.recovery.endpoint_list import NO_REVISION, StoredList
 
 RELAY_COUNTS = (1, 2, 3, 5, 40, 99, 100, 200, 1_000)
 KNOWN_AFTER_S = 6.0  # a change counts as known so long after a long poll stopped being answered
@@ -27,18 +31,51 @@
 
 
 class ToldAndKilled(unittest.TestCase):
+    def stored(self, world: World, relay: Relay) -> StoredList | None:
+        """What the next start takes, if the process ends now."""
+        later = state_cache.StateCache(world.folder, 2, relay._config.names.classes)
+        later.read(world.clock.now(), str(relay._config.discovery), 0)
+        return later.endpoint_list
+
     @in_world
     async def test_what_was_told_of_endpoints_outlasts_a_kill_right_after_it(self, world: World) -> None:
-        """A stored list from before sends messages to an endpoint that the relay was told is gone."""
+        """Guards against messages for an endpoint that the relay was told is gone, whatever the size of the list."""
         with mock.patch.object(state_cache, "_SAVE_INTERVAL_MS", math.inf):
             async with world.relay() as relay:
                 relay._state_cache = state_cache.StateCache(world.folder, 1, relay._config.names.classes)
+                for size in (1, 20, 800, 3_200, 3_199, 2):
+                    names = {f"s-{size}-endpoint-of-a-usual-name-{n:04d}" for n in range(size)}
+                    world.change(*(member(f"127.0.0.1:{n + 1}", name) for n, name in enumerate(sorted(names))))
+                    await until(lambda: relay._discovery.version == world.revision)
+                    stored = self.stored(world, relay)
+                    assert stored
+                    self.assertEqual((set(stored.members), stored.revision), (names, world.revision))
+
+    @in_world
+    async def test_the_list_outlasts_a_kill_while_discovery_has_moved_and_is_silent(self, world: World) -> None:
+        """Guards against a return to the configuration's list, which is older, behind a SIGHUP."""
+        async with world.relay() as relay:
+            relay._state_cache = state_cache.StateCache(world.folder, 1, relay._config.names.classes)
+            world.change(member("127.0.0.1:1", "s-2"))
+            await until(lambda: relay._directory.number("s-2"))
+            with listen(HERE) as silent:
+                relay.follow(replace(relay._config, discovery=Address(*silent.getsockname())))
+                stored = self.stored(world, relay)
+                assert stored
+                self.assertEqual((set(stored.members), stored.revision), ({"s-2"}, NO_REVISION))
+
+    @in_world
+    async def test_a_list_that_the_disk_refused_is_stored_later(self, world: World) -> None:
+        async with world.relay() as relay:
+            relay._state_cache = state_cache.StateCache(world.folder, 1, relay._config.names.classes)
+            with mock.patch("calicohitch.recovery.list_files.write_all", side_effect=OSError(errno.ENOSPC, "full")):
                 world.change(member("127.0.0.1:1", "s-2"))
                 await until(lambda: relay._directory.number("s-2"))
-                stored = StateFiles(world.folder).read()
-                assert stored
-                self.assertEqual([found["id"] for found in stored.members], ["s-2"])
-                self.assertEqual(stored.revision, world.revision)
+                await until(lambda: relay._list_changed)
+            await until(lambda: not relay._list_changed)
+            stored = self.stored(world, relay)
+            assert stored
+            self.assertEqual(set(stored.members), {"s-2"})
 
 
 class Silence(unittest.TestCase):
--- a/tests/recovery/test_cached_state.py
+++ b/tests/recovery/test_cached_state.py
@@ -80,19 +80,12 @@
 
 
 class Validity(unittest.TestCase):
-    def validated(
-        self,
-        passed: float,
-        set_by: float = 0.0,
-        discovery: str = "127.0.0.1:8500",
-        revision: int = 40,
-        outlast: bool = False,
-    ) -> cached_state.ValidatedState:
-        return validate(known(), moment_after(passed, set_by), discovery, revision, ("orders", "scores"), outlast)
+    def validated(self, passed: float, set_by: float = 0.0, outlast: bool = False) -> cached_state.ValidatedState:
+        return validate(known(), moment_after(passed, set_by), ("orders", "scores"), outlast)
 
     def test_each_part_has_a_maximum_age(self) -> None:
         fresh = self.validated(1_000.0)
-        self.assertEqual((fresh.revision, fresh.members, fresh.left_out), (41, (MEMBER,), ()))
+        self.assertEqual(fresh.left_out, ())
         self.assertEqual(fresh.routes[0], KnownRoute(7, "", 80.0, 0.5, 2.0, True, 999_000.0, 0.0))
         self.assertEqual(fresh.on_time, {"orders": (90, 100)})
         self.assertFalse(fresh.rolled_back)
@@ -102,13 +95,6 @@
         old = self.validated(cached_state.MAX_ON_TIME_AGE_MS + 1)
         self.assertEqual((old.routes, old.on_time, old.rolled_back), ((), {}, True))
         self.assertEqual([part for part, _, _ in old.left_out], ["limits", "health", "on-time shares"])
-        self.assertEqual(self.validated(cached_state.MAX_LIST_AGE_MS + 1).members, ())
-
-    def test_a_cached_list_does_not_replace_a_list_as_new_or_one_from_another_discovery(self) -> None:
-        self.assertEqual(self.validated(5.0, revision=41).left_out[0][2], "the configured list is as new")
-        self.assertEqual(
-            self.validated(5.0, discovery="127.0.0.1:1").left_out[0][2], "it is from another discovery service"
-        )
 
     def test_a_retry_after_ends_with_a_restart_unless_it_outlasts_one(self) -> None:
         self.assertEqual(self.validated(1_000.0).routes[0].wait_until, 0.0)
@@ -136,8 +122,10 @@
         self.assertEqual(decode(encode(known())), known())
 
     def test_a_list_that_is_too_long_is_left_out(self) -> None:
-        state = decode(encode(known(members=(MEMBER,) * 2_000)))
+        left_out: list[str] = []
+        state = decode(encode(known(members=(MEMBER,) * 2_000), lambda part, _size: left_out.append(part)))
         self.assertEqual((state.members, state.revision, len(state.routes)), ((), -1, 2))
+        self.assertEqual(left_out, ["healthy destinations", "the list"])
 
     def test_healthy_destinations_are_left_out_before_the_list(self) -> None:
         many = tuple(KnownDestination(n, 12_345.0, 1_000) for n in range(1, 4_000))
@@ -296,9 +284,6 @@
             wall,
             RestoredState((RestoredRoute(7, 4, (80.0, 0.5, 2.0), True, 999_000_000, 0),), ((9, 10),)),
             lambda number: f"s-{number}",
-            "127.0.0.1:8500",
-            41,
-            lambda: [dict(MEMBER)],
         )
         second = StateCache(self.folder, 4, ("orders",))
         second.read(wall + 500.0, "127.0.0.1:8500", 40)
@@ -312,7 +297,7 @@
     def test_times_follow_the_wall_clock_and_messages_of_an_old_copy_are_doubtful(self) -> None:
         wall = 1_000_000.0
         state_cache = StateCache(self.folder, 3, ("orders",))
-        state_cache.save(wall, RestoredState((), ((0, 0),)), str, "127.0.0.1:8500", 41, list)
+        state_cache.save(wall, RestoredState((), ((0, 0),)), str)
         later = clocks.now(0.0)
         for set_by, passed, doubtful in ((-90_000.0, 600.0, False), (90_000.0, 600.0, False), (0.0, 125_000.0, True)):
             with self.subTest(set_by=set_by, passed=passed):
@@ -336,7 +321,7 @@
             (self.folder / name).unlink()
             (self.folder / name).mkdir()
         state_cache.read(1.0, "127.0.0.1:8500", -1)
-        state_cache.save(5_000.0, RestoredState((), ((0, 0),)), str, "127.0.0.1:8500", 1, list)  # only logged
+        state_cache.save(5_000.0, RestoredState((), ((0, 0),)), str)  # only logged
 
 
 if __name__ == "__main__":
