A late request to discovery is kept while another begins beside it

A watch that is lost is still found as soon as before. ServerClient allows several requests at once, and a move of discovery ends all of them.

--- a/calicohitch/net/discovery.py
+++ b/calicohitch/net/discovery.py
@@ -17,8 +17,9 @@
 from ..interface import Listed, ListKind, ListTold, Phase
 from ..config.settings import Names
 from ..core.descriptor_budget import DescriptorUse, DescriptorBudget
-from ..core.discovery_timeouts import DiscoveryTimeouts
+from ..core.discovery_timeouts import MAX_LATENESS_S, DiscoveryTimeouts
 from ..core.system_errors import RETRY_PAUSE_S, Step, of_this_machine
+from .overlapping_requests import OverlappingRequests
 from .server_client import Moved, ServerClient
 
 MAX_RESPONSE_BYTES = 16 << 20
@@ -297,6 +298,7 @@
         self._accept_stale_at: float | None = None  # when a stale discovery is taken as authoritative
         self._timeouts = timeouts
         self._address_changed = anyio.Event()  # set by `move`
+        self._requests: OverlappingRequests | None = None  # while `run` does
         self.heard = anyio.Event()  # set by the first response
 
     @property
@@ -312,14 +314,21 @@
         """Request the complete list at the new address at once: a long poll at the old address is cancelled, and a
         pause after failures ends. Call it only if the address differs."""
         self._version = self._accept_stale_at = None
+        if self._requests:
+            self._requests.abandon(Moved(f"the server is at {address} now"))
         self._address_changed.set()
         self._agent.move(address)
 
     async def run(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            self._requests = OverlappingRequests(tasks, self._timeouts.most_requests)
+            await self._run(self._requests)
+
+    async def _run(self, requests: OverlappingRequests) -> None:
         while True:
             self._address_changed = anyio.Event()
             try:
-                await self._poll()
+                await self._poll(requests)
                 if self._failures:
                     logger.info("discovery answers again, after {} failures", self._failures)
                 self._failures = 0
@@ -329,13 +338,17 @@
                 # it would be known too late.
                 self._timeouts.answered()
             except (OSError, ListError, ValueError, RecursionError) as error:  # a time-out is an OSError
-                if not self._failures:
-                    logger.warning("discovery: {}: {}; the list stays as it is", type(error).__name__, error)
+                self._log_failure(error)
                 self._failures += 1
                 with anyio.move_on_after(self._pause_s(error)):
                     await self._address_changed.wait()
                     self._timeouts.answered()
 
+    def _log_failure(self, error: Exception) -> None:
+        """One line for a run of failures. A single request that is late is none: its response may still come."""
+        if self._failures == (1 if isinstance(error, TimeoutError) else 0):
+            logger.warning("discovery: {}: {}; the list stays as it is", type(error).__name__, error)
+
     async def _parse_ahead(self, response: Any) -> None:
         items = response.get("members") if isinstance(response, dict) else None
         if isinstance(items, list) and len(items) > _MEMBERS_PER_SLICE:
@@ -349,14 +362,18 @@
             return RETRY_PAUSE_S
         return self._timeouts.pause_s(silent=isinstance(error, OSError))
 
-    async def _poll(self) -> None:
+    async def _poll(self, requests: OverlappingRequests) -> None:
         target, wait_ms = "/registry/instances", 0
         if authoritative := self._accept_stale_at is not None and anyio.current_time() >= self._accept_stale_at:
             self._version = None
         if self._version is not None:
             wait_ms = self._timeouts.wait_ms(self._may_be_stale)
             target = f"{target}?index={self._version}&wait={wait_ms}"
-        response = await self._agent.request("GET", target, self._timeouts.timeout_s(wait_ms))
+        due_s = self._timeouts.timeout_s(wait_ms)
+        first = await requests.first_response(
+            lambda: self._agent.request("GET", target, due_s + MAX_LATENESS_S), authoritative, due_s
+        )
+        response, authoritative = first.response, first.authoritative
         if response.status != 200:
             raise ListError(f"the response has status {response.status}")
         decoded = json.loads(response.body)
--- a/calicohitch/net/server_client.py
+++ b/calicohitch/net/server_client.py
@@ -1,4 +1,4 @@
-"""Requests to one server, each on a connection of its own.
+"""Requests to one server, each on a connection of its own, so that several may be out at once.
 
 HTTP/1.1 ties a response to its request by their order on the connection alone, so one surplus byte of the server would
 make every later response ambiguous. The servers here (the platform's agent, a trace collector) are asked a few times a
@@ -19,7 +19,7 @@
 
 
 class ServerClient:
-    """Sends requests to one server, one at a time."""
+    """Sends requests to one server."""
 
     def __init__(
         self,
@@ -31,13 +31,14 @@
         """`max_body`: of a response, in bytes. `needs_body`: a status line of 200 alone is no response. `descriptor`:
         the budget of descriptors, and the use that a connection is counted under."""
         self._address, self._max_body, self._needs_body, self._descriptor = address, max_body, needs_body, descriptor
-        self._request_scope = anyio.CancelScope()
+        self._requests: set[anyio.CancelScope] = set()
 
     def move(self, address: Address) -> None:
-        """Use this address from now on; a request in flight at the old address is cancelled."""
+        """Use this address from now on; requests in flight at the old address are cancelled."""
         if address != self._address:
             self._address = address
-            self._request_scope.cancel()
+            for scope in self._requests:
+                scope.cancel()
 
     async def request(
         self, method: str, target: str, timeout_s: float, headers: Headers | None = None, body: bytes = b""
@@ -45,9 +46,13 @@
         """Send a request and return the response; OSError if there is none in time, Moved if the address changed."""
         address = self._address
         headers = [(b"Host", str(address).encode()), *(headers or [])]
-        with anyio.fail_after(timeout_s), anyio.CancelScope() as self._request_scope:
-            response = await self._exchange(address, method, target, headers, body)
-        if self._request_scope.cancelled_caught or self._address != address:
+        with anyio.fail_after(timeout_s), anyio.CancelScope() as scope:
+            self._requests.add(scope)
+            try:
+                response = await self._exchange(address, method, target, headers, body)
+            finally:
+                self._requests.discard(scope)
+        if scope.cancelled_caught or self._address != address:
             raise Moved(f"the server is at {self._address} now")
         return response
 
