--- a/calicohitch/journal.py
+++ b/calicohitch/journal.py
@@ -28,7 +28,7 @@
 from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import IntEnum
 from pathlib import Path
 from typing import TypeVar
@@ -53,6 +53,7 @@
 _BLOCK_BYTES = 512  # the platform's disk accounting counts each file in whole blocks of this size
 _RESERVE_PER_MESSAGE_BYTES = 640  # for each open message: eight attempts, their outcomes, its end
 DISK_SHARE = 0.7  # upper bound of the share of the disk that the journal uses; the rest is a margin
+_STAMP_INTERVAL_MS = 15_000.0  # after so long without a record the next one begins a segment, whose header has the time
 _SEGMENT = re.compile(r"journal-(\d{8,18})\.log")
 _RETAINED_SHARE = 0.5  # of the journal's disk budget, above which segments without open messages are not kept
 _QUARANTINE_PREFIX = "damaged-"  # of the name of a segment that is quarantined for inspection
@@ -152,6 +153,7 @@
     empty_size: int = 0  # its size with nothing but its header
     # Milliseconds, added to its times to convert them to this process's clock; None if unknown.
     clock_offset: float | None = None
+    moment: Moment | None = None  # when it was begun, if that is known
 
     def on_disk(self) -> int:
         return -(-self.size // _BLOCK_BYTES) * _BLOCK_BYTES
@@ -197,6 +199,8 @@
         self._folder, self._incarnation, self._check, self._complete = folder, incarnation, check, complete
         self._moment = moment or clocks.now(Clock().now())
         self._own_times, self._now = own_times, now
+        self._opened_at = clocks.now(0.0).mono  # the monotonic clock at `moment`
+        self._written_at = 0.0  # the last record, in milliseconds since then
         self._segments: deque[_Segment] = deque()
         self._segment_of: dict[int, _Segment] = {}  # open message -> the segment in which it was accepted
         self._pending: deque[_PendingRecord] = deque()
@@ -212,6 +216,7 @@
         self.orphans = 0
         self.next_number = 1
         self.written_until = 0.0  # the latest time of an attempt on record, in Unix milliseconds
+        self._since_accepted_ms = math.inf  # at most since the last message was accepted by an earlier incarnation
         self._closed: set[int] = set()  # closed messages, while segments are read
         # Also while segments are read: records of messages whose first record has not been read.
         self._unmatched: dict[int, list[tuple[int, bytes, float]]] = {}
@@ -390,14 +395,29 @@
 
     def _write(self, record: bytes) -> _Segment:
         newest = self._segments[-1] if self._fd >= 0 else None
+        elapsed_ms = self._elapsed_ms()
+        was_quiet = elapsed_ms - self._written_at > _STAMP_INTERVAL_MS
         full = newest is not None and newest.empty_size < newest.size > self._roll_at - len(record)
-        if newest is None or full or self._write_failed:
+        if newest is None or full or was_quiet or self._write_failed:
             self._roll()
         segment = self._segments[-1]
         self._write_or_truncate(segment, record)
         segment.size += len(record)
+        self._written_at = elapsed_ms
         return segment
 
+    def _elapsed_ms(self) -> float:
+        """Milliseconds since `moment`."""
+        return clocks.now(0.0).mono - self._opened_at
+
+    @property
+    def since_written_ms(self) -> float | None:
+        """At most how long before this incarnation the folder was last written to by one that had completed its
+        recovery, in milliseconds; None if no record tells. Only such a one accepts messages and makes attempts."""
+        since_attempt_ms = self._moment.wall - self.written_until if self.written_until else math.inf
+        since_ms = max(0.0, min(since_attempt_ms, self._since_accepted_ms))
+        return since_ms if math.isfinite(since_ms) else None
+
     def _write_or_truncate(self, segment: _Segment, record: bytes) -> None:
         """Write a record, or truncate the segment to its size before. A disk that fails in the middle of a write would
         otherwise leave half a record in front of later ones. A segment that holds records is not written to again after
@@ -413,8 +433,10 @@
             raise
 
     def _roll(self) -> None:
+        elapsed_ms = self._elapsed_ms()
+        moment = replace(self._moment, wall=self._moment.wall + elapsed_ms, mono=self._moment.mono + elapsed_ms)
         path = self._folder / f"journal-{self._newest_number + 1:08d}.log"
-        header = self._record(_Kind.HEADER, 0, _header_data(self._incarnation, self._newest_number + 1, self._moment))
+        header = self._record(_Kind.HEADER, 0, _header_data(self._incarnation, self._newest_number + 1, moment))
         fd = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_TRUNC | os.O_CLOEXEC, 0o600)
         try:
             write_all(fd, header)
@@ -609,8 +631,12 @@
                     )
                     return
                 self._add_open(self._first_record(number, data, kind == _Kind.CALL, segment), segment)
+                if segment.moment is not None:
+                    since_ms = between(segment.moment, self._moment).passed
+                    self._since_accepted_ms = min(self._since_accepted_ms, since_ms)
             elif kind == _Kind.HEADER:
-                segment.clock_offset = self._clock_offset(data, segment.clock_offset)
+                segment.moment = _header_moment(data) if self._own_times else None
+                segment.clock_offset = self._clock_offset(data, segment)
             elif kind == _Kind.CLOSED:
                 self._closed.add(number)
                 if number in self._segment_of:
@@ -631,16 +657,12 @@
         if self._now is not None and was_accepted and entry.deadline > self._now():
             self.closed_ids[entry.id] = entry.deadline
 
-    def _clock_offset(self, header: bytes, previous: float | None) -> float | None:
-        """Milliseconds to add to the times of a segment; `previous`, that of the segment before, if the moment in its
-        header is damaged, and None if the header has none."""
-        if not self._own_times:
-            return None
-        if len(header) < _HEADER.size + _MOMENT.size:
-            return None if len(header) == _HEADER.size else previous
-        wall, mono = _MOMENT.unpack_from(header, _HEADER.size)
-        boot = header[_HEADER.size + _MOMENT.size :].decode("ascii", "replace")
-        return between(Moment(wall, mono, boot), self._moment).set_by
+    def _clock_offset(self, header: bytes, segment: _Segment) -> float | None:
+        """Milliseconds to add to the times of a segment; that of the segment before if the moment in its header is
+        damaged, and None if the header has none."""
+        if segment.moment is not None:
+            return between(segment.moment, self._moment).set_by
+        return None if not self._own_times or len(header) == _HEADER.size else segment.clock_offset
 
     def _apply(self, kind: int, entry: Entry, data: bytes, clock_offset: float) -> None:
         """Apply a later record to an open message; `clock_offset`, in milliseconds, converts its times to this
@@ -680,6 +702,14 @@
             entry.origin = Origin(str(relay), int(epoch), int(part), bool(confirmed))
 
 
+def _header_moment(header: bytes) -> Moment | None:
+    """The moment in a segment's header; None if it has none or a damaged one."""
+    if len(header) < _HEADER.size + _MOMENT.size:
+        return None
+    wall, mono = _MOMENT.unpack_from(header, _HEADER.size)
+    return Moment(wall, mono, header[_HEADER.size + _MOMENT.size :].decode("ascii", "replace"))
+
+
 def _header_data(incarnation: int, number: int, moment: Moment) -> bytes:
     return _HEADER.pack(FORMAT, incarnation, number) + _MOMENT.pack(moment.wall, moment.mono) + moment.boot.encode()
 
--- a/calicohitch/net/relay.py
+++ b/calicohitch/net/relay.py
@@ -860,7 +860,7 @@
         """Pass the messages that an earlier incarnation left open to the engine, and send its pending notices."""
         now, entries = self._clock.now(), list(self._journal.entries.values())
         if state_cache := self._state_cache:
-            state_cache.correct_entries(entries)
+            state_cache.correct_entries(entries, now, self._journal.since_written_ms)
             if restored_state := state_cache.restored_state(self._directory.number, now):
                 log_health_changes(self._health_changes.since_last(restored_state), self._clock.now())
                 self.feed(restored_state)
--- a/calicohitch/recovery/cached_state.py
+++ b/calicohitch/recovery/cached_state.py
@@ -22,7 +22,7 @@
 MAX_LIMIT_AGE_MS = 30_000.0  # the first answer replaces it; destinations change their limits within a minute
 MAX_HEALTH_AGE_MS = 10_000.0  # the longest slow start on the platform
 MAX_ON_TIME_AGE_MS = 60_000.0  # 100 messages of a class end in about that time
-ROLLED_BACK_MS = 30_000.0  # the state is written every second while work is open: an older folder may be a copy
+ROLLED_BACK_MS = 30_000.0  # something is written every second while work is open: an older folder may be a copy
 MAX_ARRIVAL_GAP_AGE_MS = 600_000.0  # traffic changes slowly, and a wrong gap only makes pauses longer or shorter
 _MAX_RATE_PER_S = 1e9  # a larger rate or limit can only be damage
 _MAX_COUNT = 1e9  # so can a larger count
@@ -107,15 +107,13 @@
 class ValidatedState:
     """What of the cached state is valid now, with times converted to the present wall clock. `passed`: its age in
     milliseconds. `set_by`: how far the wall clock was set since, in milliseconds. `left_out`: each part that is not
-    used, with its age in milliseconds and the reason. `rolled_back`: the folder may be a copy that lacks the relay's
-    last records."""
+    used, with its age in milliseconds and the reason."""
 
     passed: float
     set_by: float
     routes: tuple[KnownRoute, ...] = ()
     on_time: Mapping[str, tuple[int, int]] = field(default_factory=dict)
     left_out: tuple[tuple[str, float, str], ...] = ()
-    rolled_back: bool = False
     pacing: tuple[KnownPacing, ...] = ()
     destinations: tuple[KnownDestination, ...] = ()
     overload_doublings: tuple[tuple[int, int], ...] = ()
@@ -303,6 +301,14 @@
         return None
 
 
+def since_copy_ms(*since_written_ms: float | None) -> float | None:
+    """How long ago a folder was copied that may be a copy without the relay's last records; None for any other folder.
+    `since_written_ms`: how long ago it was written to, by each thing in it that tells; None where it does not. The
+    newest counts: a relay that is quiet stores no state, and one that cannot store it still writes its journal."""
+    known = [since_ms for since_ms in since_written_ms if since_ms is not None]
+    return min(known) if known and min(known) > ROLLED_BACK_MS else None
+
+
 def validate(state: CachedState, now: Moment, classes: Sequence[str], waits_outlast: bool = False) -> ValidatedState:
     """What of the cached state is valid at `now`, by its age and the configuration. `waits_outlast`: a retry-after
     outlasts a restart."""
@@ -341,7 +347,6 @@
         tuple(routes),
         on_time,
         tuple(left_out),
-        rolled_back=age > ROLLED_BACK_MS,
         pacing=tuple(_moved_pacing(known, gap.set_by) for known in state.pacing) if age <= MAX_HEALTH_AGE_MS else (),
         destinations=tuple(
             known
--- a/calicohitch/recovery/state_cache.py
+++ b/calicohitch/recovery/state_cache.py
@@ -96,30 +96,39 @@
             "cached state not used: {}, {:.1f} s old: {}", part, age / 1e3, reason
         )
 
-    def correct_entries(self, entries: Sequence[Entry]) -> None:
+    def correct_entries(self, entries: Sequence[Entry], wall: float, journal_since_ms: float | None = None) -> None:
         """Convert the times of messages of an earlier incarnation to the present wall clock. If the folder may be an
-        old copy, mark all of them doubtful: attempts made since the copy are missing from it."""
-        validated, found = self.validated, self.found
-        if validated is None or found is None or not entries:
+        old copy, mark all of them doubtful: attempts made since the copy are missing from it. `journal_since_ms`: how
+        long ago the journal was written to, None if it does not tell."""
+        if not entries:
             return
-        if validated.set_by:
-            for entry in entries:
-                if entry.on_this_clock:
-                    continue  # the journal has converted its times already
-                entry.deadline += validated.set_by
-                entry.complete_until += validated.set_by
-                for attempt in entry.attempts:
-                    attempt.sent_at += validated.set_by
-        if validated.rolled_back:
-            logger.bind(event="recovery.rolled_back", age_ms=validated.passed).warning(
-                "the folder was last written {:.0f} s ago and may be a copy from then: any of its {} open messages may "
-                "have been attempted since",
-                validated.passed / 1e3,
-                len(entries),
-            )
-            for entry in entries:
-                if not entry.doubtful:
-                    entry.doubtful, entry.complete_until = True, found.written.wall + validated.set_by
+        if self.validated and self.validated.set_by:
+            self._convert_times(entries, self.validated.set_by)
+        state_since_ms = self.validated.passed if self.validated else None
+        if (since_ms := cached_state.since_copy_ms(state_since_ms, journal_since_ms)) is not None:
+            self._mark_doubtful(entries, wall, since_ms)
+
+    @staticmethod
+    def _convert_times(entries: Sequence[Entry], set_by: float) -> None:
+        for entry in entries:
+            if entry.on_this_clock:
+                continue  # the journal has converted its times already
+            entry.deadline += set_by
+            entry.complete_until += set_by
+            for attempt in entry.attempts:
+                attempt.sent_at += set_by
+
+    @staticmethod
+    def _mark_doubtful(entries: Sequence[Entry], wall: float, since_ms: float) -> None:
+        logger.bind(event="recovery.rolled_back", age_ms=since_ms).warning(
+            "the folder was last written {:.0f} s ago and may be a copy from then: any of its {} open messages may "
+            "have been attempted since",
+            since_ms / 1e3,
+            len(entries),
+        )
+        for entry in entries:
+            if not entry.doubtful:
+                entry.doubtful, entry.complete_until = True, wall - since_ms
 
     def restored_state(self, number: Callable[[str], int | None], wall: float) -> RestoredState | None:
         """The cached state in the form of the decision engine. `number`: the number of an endpoint by its name, None if
--- a/tests/recovery/test_cached_state.py
+++ b/tests/recovery/test_cached_state.py
@@ -88,12 +88,11 @@
         self.assertEqual(fresh.left_out, ())
         self.assertEqual(fresh.routes[0], KnownRoute(7, "", 80.0, 0.5, 2.0, True, 999_000.0, 0.0))
         self.assertEqual(fresh.on_time, {"orders": (90, 100)})
-        self.assertFalse(fresh.rolled_back)
         later = self.validated(cached_state.MAX_HEALTH_AGE_MS + 1)
         self.assertEqual(later.routes[0], KnownRoute(7, "", 80.0, 0.5, 2.0))
         self.assertEqual([part for part, _, _ in later.left_out], ["health"])
         old = self.validated(cached_state.MAX_ON_TIME_AGE_MS + 1)
-        self.assertEqual((old.routes, old.on_time, old.rolled_back), ((), {}, True))
+        self.assertEqual((old.routes, old.on_time), ((), {}))
         self.assertEqual([part for part, _, _ in old.left_out], ["limits", "health", "on-time shares"])
 
     def test_a_retry_after_ends_with_a_restart_unless_it_outlasts_one(self) -> None:
@@ -117,6 +116,27 @@
         self.assertEqual(moved.destinations[0].next_call_at, DESTINATION.next_call_at - 90_000.0)
 
 
+class Copies(unittest.TestCase):
+    def test_a_folder_is_taken_for_a_copy_by_the_newest_of_what_is_in_it(self) -> None:
+        """Guards against untried messages that are failed since a quiet relay, or one whose disk refused it, had stored
+        no state for a while."""
+        old, fresh = cached_state.ROLLED_BACK_MS + 1, cached_state.ROLLED_BACK_MS
+        table = {
+            "the state is fresh": ((fresh, old), None),
+            "quiet, and messages were accepted right before the kill": ((old, 600.0), None),
+            "the state could not be stored, and the journal could": ((old, 0.0), None),
+            "the state is damaged or missing": ((None, fresh), None),
+            "nothing tells": ((None, None), None),
+            "no message was accepted yet": ((fresh, None), None),
+            "an old copy": ((old + 5.0, old), old),
+            "an old copy without its state": ((None, old), old),
+            "an old copy whose journal does not tell": ((old, None), old),
+        }
+        for name, (since_written_ms, expected) in table.items():
+            with self.subTest(name):
+                self.assertEqual(cached_state.since_copy_ms(*since_written_ms), expected)
+
+
 class Encoding(unittest.TestCase):
     def test_encoded_state_is_decoded_unchanged(self) -> None:
         self.assertEqual(decode(encode(known())), known())
@@ -306,7 +326,7 @@
                 moment = Moment(wall + passed + set_by, later.mono + passed, later.boot)
                 with mock.patch.object(clocks, "now", lambda wall, moment=moment: moment):
                     second.read(moment.wall, "127.0.0.1:8500", -1)
-                second.correct_entries([entry])
+                second.correct_entries([entry], moment.wall)
                 self.assertAlmostEqual(entry.deadline, wall + 9_000.0 + set_by, delta=1_000.0)
                 self.assertAlmostEqual(entry.attempts[0].sent_at, wall - 50.0 + set_by, delta=1_000.0)
                 self.assertEqual(entry.doubtful, doubtful)
