The pause behind a refusal of a pushed list is at most 1.5 s

Cause: only the pause behind a time-out was bounded where lists are pushed. Behind a refusal it was the backoff of a shared server, up to 16 s.

Change: at most 1.5 s, so that a change is known 5.5 s after discovery can be reached for an agent that answers and refuses within 2 s. Pauses where lists are asked for are as they were.

Tests: test_where_lists_are_pushed_and_discovery_refused failed before for fleets of 10 and more (6.9 to 10.9 s). test_where_lists_are_asked_for_and_discovery_was_away fails with 19.1 s: a bounded rate of all relays and 6 s for each exclude each other in a large fleet.

--- a/calicohitch/core/discovery_timeouts.py
+++ b/calicohitch/core/discovery_timeouts.py
@@ -11,7 +11,10 @@
 
     2.7 s (a watch that was lost is late) + 0.2 s (pause) + 2 s (answer) = 4.9 s,
 
-or, if the request before was no watch, after 0.7 + 0.2 + 2 = 2.9 s.
+or, if the request before was no watch, after 0.7 + 0.2 + 2 = 2.9 s. For an agent that refuses requests, also that late,
+at the latest after
+
+    2 s (a refusal) + 1.5 s (pause) + 2 s (answer) = 5.5 s.
 
 If lists are requested, each request is work for discovery itself, and all relays may have failed at the same time. A
 watch times out after 4.5 s, since an agent may itself ask for two seconds, and the next request follows within another
@@ -28,6 +31,7 @@
 _NO_WAIT_MS = 1  # for a request that checks whether the present list is still current
 _PUSHED_GRACE_S, _REQUESTED_GRACE_S = 0.7, 2.5  # beyond the wait of a request, before it times out
 _MAX_AGENT_PAUSE_S = 0.2  # after a time-out of the agent
+_MAX_REFUSED_PAUSE_S = 1.5  # after a refusal of the agent
 _MAX_AGENT_REQUESTS = 4  # at an agent that is slow
 
 
@@ -56,4 +60,6 @@
         """The pause in seconds after a failed request; `silent`: it timed out and was not rejected."""
         self._failures += 1
         pause = self._backoff.next()
-        return min(pause, _MAX_AGENT_PAUSE_S) if silent and self._pushed else pause
+        if not self._pushed:
+            return pause
+        return min(pause, _MAX_AGENT_PAUSE_S if silent else _MAX_REFUSED_PAUSE_S)
--- a/tests/orders/test_discovery_schedule.py
+++ b/tests/orders/test_discovery_schedule.py
@@ -137,6 +137,16 @@
         """Guards against a discovery that is never heard again as it needs longer than the time limit."""
         self.assert_in_time(False, Before.SILENT, Before.RESET, Before.SLOW, Before.NOW_AND_THEN)
 
+    def test_where_lists_are_pushed_and_discovery_refused(self) -> None:
+        """Guards against pauses behind refusals that grow with the fleet, to 16 s."""
+        self.assert_in_time(False, Before.REFUSED)
+
+    def test_where_lists_are_asked_for_and_discovery_was_away(self) -> None:
+        """Of a fleet that is so large that the rate of all its relays together limits each of them."""
+        away = (Before.SILENT, Before.REFUSED, Before.RESET)
+        latest = max(max(self.latest(True, before).values()) for before in away)
+        self.assertLess(latest, KNOWN_AFTER_S)
+
     def test_where_lists_are_asked_for_and_discovery_was_slow(self) -> None:
         self.assert_in_time(True, Before.SLOW, Before.NOW_AND_THEN)
 
