More calls to an endpoint without a confirmed response have connections of their own

Two in test_relay_rules expected the second call on the connection of the first; they confirm a response first now, so that they test reuse as before.

--- a/calicohitch/net/connection_pool.py
+++ b/calicohitch/net/connection_pool.py
@@ -42,7 +42,7 @@
 # come before it. Behind others the silence lasts until the call's time is over.
 _MAX_SILENCE_S = 2.0
 _CHECK_INTERVAL_S = 0.1
-_MAX_UNCONFIRMED_CONNECTIONS = 2  # idle ones of an endpoint, before any of its responses is confirmed
+_MAX_UNCONFIRMED_CONNECTIONS = 16  # idle ones of an endpoint, before any of its responses is confirmed
 
 PoolKey = tuple[int, Address]
 
@@ -145,7 +145,8 @@
 
     def _choose(self, key: PoolKey) -> PooledConnection | None:
         """An idle connection for the next call; None for a new one. Before any response of the endpoint is confirmed,
-        only the first one on a connection in sync can be, so that a few connections are opened for that."""
+        silence can confirm only the first one on a connection in sync, so that connections are opened for that while
+        descriptors are plentiful."""
         idle = self.idle.get(key)
         if not idle:
             return None
@@ -154,7 +155,12 @@
         for connection in reversed(idle):
             if self.is_in_sync(connection):
                 return connection
-        return idle[-1] if len(idle) >= _MAX_UNCONFIRMED_CONNECTIONS else None
+        may_open = len(idle) < _MAX_UNCONFIRMED_CONNECTIONS and self._has_plenty_of_descriptors()
+        return None if may_open else idle[-1]
+
+    def _has_plenty_of_descriptors(self) -> bool:
+        """Whether calls hold less than half of those that they may have."""
+        return self._descriptors.held[DescriptorUse.CALLS] < self._descriptors.free_for(DescriptorUse.CALLS)
 
     def is_in_sync(self, connection: PooledConnection) -> bool:
         """Whether it has carried no call, or silence has proved since that no response of its calls is left over."""
--- a/tests/test_relay_rules.py
+++ b/tests/test_relay_rules.py
@@ -102,6 +102,7 @@
             (None, Outcome.RESET, False, 0),
         ]
         endpoints = Endpoints(world.clock, ("x0", "x1"), 10_000, 1_500, DescriptorBudget(8, {}))
+        endpoints._pool.evidence.confirmed(1, 0.0)  # else the second call has a connection of its own
 
         async def call(timeout: float = 5_000, wanted: bool = True) -> Result:
             message = Call("a1", None, b"x", timeout)
@@ -205,6 +206,7 @@
     @in_world
     async def test_a_reset_of_a_reused_connection_is_marked_stale(self, world: World) -> None:
         endpoints = Endpoints(world.clock, (), 10_000, 1_500, DescriptorBudget(8, {}))
+        endpoints._pool.evidence.confirmed(1, 0.0)  # else the second call has a connection of its own
         for answers, stale in (([None], False), ([(200, {}, b""), None], True)):
             with self.subTest(answers=answers):
                 world.answers = list(answers)  # type: ignore[arg-type]
