A reported limit that cannot be computed with stops no relay

Cause: 1 / rate is infinite, and math.ceil raises OverflowError at each turn of the decisions.

Change: a limit from a report, a note, the list or the stored state is kept between 0.001 and 1e9 calls a second.

Tests: tests/test_reported_numbers.py draws any numbers for every field that a report, a note, the list and the stored state have; failed before with OverflowError at the first example.

--- a/calicohitch/core/limit_share.py
+++ b/calicohitch/core/limit_share.py
@@ -20,9 +20,17 @@
 # The factor for each refusal, the increase for each good answer, and the lower bound of the utilization.
 _CUT_FACTOR, _UTILIZATION_STEP, _MIN_UTILIZATION = 0.7, 0.03, 0.4
 _MIN_GAIN = 0.3  # weight of one answer
+# Calls per second. A limit outside these is taken for the nearer one, so that no rate or interval leaves the range of
+# a number: at the lower one a message is over before its call is due.
+MIN_LIMIT, MAX_LIMIT = 1e-3, 1e9
 _BURST_S = 0.3  # seconds of its part that a relay may send at once, in addition to one call
 
 
+def bounded_limit(limit: float) -> float:
+    """A finite limit above 0, within the range that rates are computed in."""
+    return min(max(limit, MIN_LIMIT), MAX_LIMIT)
+
+
 class LimitShare:
     """What one relay may send to a route, of `relays` that send to it."""
 
@@ -51,7 +59,7 @@
         their parts."""
         if not self.reported and len(self._indices) == 2 and 0 < limit < math.inf:
             self._refill(now)
-            self.limit, self._left = limit, self.assumed_left
+            self.limit, self._left = bounded_limit(limit), self.assumed_left
 
     def peer_reported(self, now: int, limit: float) -> None:
         """Another relay received a report of this limit."""
@@ -62,8 +70,8 @@
 
     def recall(self, limit: float, fraction: float, arrival_rate: float) -> None:
         """Restore the state of an earlier incarnation, before the first report; the share left is unknown."""
-        if limit > 0:
-            self.limit, self.reported, self._left = limit, True, self.assumed_left
+        if 0 < limit < math.inf:
+            self.limit, self.reported, self._left = bounded_limit(limit), True, self.assumed_left
 
     def message_arrived(self, now: int, share: float = 1.0) -> None:
         """A message arrived, of which `share` is for this route. Equal parts do not depend on arrivals."""
@@ -88,7 +96,7 @@
         elapsed = max(0, now - self._reported_at)
         gain = max(_MIN_GAIN, 1 - math.exp(-elapsed / self.decay_us))
         self._refill(now)
-        self._update_limit(now, limit)
+        self._update_limit(now, bounded_limit(limit))
         self.reported = True
         self._left += gain * ((0.0 if full else left) - self._left)
         self._reported_at = now
--- a/calicohitch/core/limit_updates.py
+++ b/calicohitch/core/limit_updates.py
@@ -16,7 +16,7 @@
 import struct
 from collections.abc import Sequence
 
-from .limit_share import LimitShare
+from .limit_share import MAX_LIMIT, LimitShare
 
 _VERSION = b"\x01"
 _ITEM = struct.Struct(">If")
@@ -25,7 +25,6 @@
 _MAX_DELAY_US = 0.2 * _SECOND  # before a note is sent; notes take up to 40 ms
 _MIN_INTERVAL_US = 3 * _SECOND  # between two notes on a destination
 _MAX_MUTED = 4_096  # destinations on which no note is sent for a while
-_MAX_LIMIT = 1e9  # calls per second
 LOWERED, RAISED = 0.65, 1.6  # ratios to the known limit, beyond which a change is no noise and needs a note
 
 
@@ -70,7 +69,7 @@
             return []
         updates = []
         for dest, limit in _ITEM.iter_unpack(note[1:]):
-            if math.isfinite(limit) and 0 < limit < _MAX_LIMIT:
+            if math.isfinite(limit) and 0 < limit < MAX_LIMIT:
                 updates.append((dest, limit))
                 self._pending.pop(dest, None)
                 self._mute(now, dest)
--- a/calicohitch/core/shared_limit.py
+++ b/calicohitch/core/shared_limit.py
@@ -18,7 +18,7 @@
 import math
 from collections.abc import Sequence
 
-from .limit_share import LimitShare
+from .limit_share import LimitShare, bounded_limit
 
 _SECOND = 1_000_000  # microseconds
 # For 2 to 4 relays equal parts deliver more (0.75 against 0.59 in the simulator), for 192 relays this module does.
@@ -79,7 +79,7 @@
         more exact."""
         if self.reported and self.limit and not _LOWERED_RATIO <= limit / self.limit <= _RAISED_RATIO:
             self._refill(now)
-            self._update_limit(now, limit)
+            self._update_limit(now, bounded_limit(limit))
 
     def _update_limit(self, now: int, limit: float) -> None:
         """Process a reported limit. A new limit changes the fraction in proportion, before refusals do; a lowered one
