--- a/calicohitch/net/connection_pool.py
+++ b/calicohitch/net/connection_pool.py
@@ -338,6 +338,8 @@
         now = anyio.current_time()
         for connection in [*self._all_idle(), *self._retired]:
             connection.drop_known()
+            if connection.unproven:
+                self._stop_reuse(connection)
             if connection.provisional:
                 if now < connection.silent_from or not self._check_idle(connection):
                     continue
@@ -380,9 +382,10 @@
         )
 
     def _stop_reuse(self, connection: PooledConnection) -> None:
+        """Give the connection no further call; it stays open while later responses on it are provisional."""
         connection.unproven = True
-        if connection in self.idle.get(connection.key, ()):
-            self._remove_and_close(connection, CloseReason.RETIRED)
+        if connection in self.idle.get(connection.key, ()) and self._remove(connection):
+            self.retire_returned(connection)
 
     def _confirm_all(self, connection: PooledConnection) -> None:
         for response in connection.take_provisional():
