A list that the disk refuses is tried again once a second, and one that is too long at a change

A refused list was encoded anew every 250 ms, and one that is too long for ever. An empty list is not stored when discovery moves, since the next start would take it for what was told. Without a store the ids of changed endpoints are dropped. The test asks for the stored list instead of a flag.

--- a/calicohitch/net/relay.py
+++ b/calicohitch/net/relay.py
@@ -141,7 +141,7 @@
         self._timer_set = anyio.Event()
         self._tasks: TaskGroup | None = None
         self.ready = self.stopping = False
-        self.changed_since_saved = self._list_changed = False
+        self.changed_since_saved = False
         self.max_clients = config.limits.sockets // 2
         self._directory = Directory(config.names, protocol_of)
         backoff = Backoff(settings.couriers, config.seed)
@@ -237,7 +237,8 @@
         self._config = replace(self._config, discovery=config.discovery)
         self._discovery.move(config.discovery)
         self._notices.move(config.discovery)
-        self._save_list(moved=True)  # what this life acts on, until the new address answers
+        if len(self._directory):
+            self._save_list(moved=True)  # what this life acts on, until the new address answers
 
     @property
     def idle(self) -> bool:
@@ -464,7 +465,7 @@
             state_cache, changed = self._state_cache, self._open or self.changed_since_saved
             if state_cache and self.ready and changed and state_cache.due(self._clock.now()):
                 self.save_state()
-            if state_cache and len(self._directory) and (self._list_changed or state_cache.list_due(self._clock.now())):
+            if state_cache and len(self._directory) and state_cache.list_due(self._clock.now()):
                 self._save_list()
 
     def save_state(self) -> None:
@@ -481,9 +482,11 @@
 
     def _save_list(self, moved: bool = False) -> None:
         """Store the endpoint list for the next incarnation. `moved`: discovery has another address."""
-        if self._state_cache and self._journal.may_act():
+        if self._state_cache is None:
+            self._directory.take_changes()
+        elif self._journal.may_act():
             started, changes = self.resources.start(), self._directory.take_changes()
-            self._list_changed = not self._state_cache.save_list(
+            self._state_cache.save_list(
                 self._clock.now(),
                 str(self._config.discovery),
                 self._discovery.version,
--- a/calicohitch/recovery/state_cache.py
+++ b/calicohitch/recovery/state_cache.py
@@ -15,7 +15,7 @@
 from ..journal import Entry
 from . import cached_state, clocks, state_conversion
 from .endpoint_list import MAX_LIST_AGE_MS, NO_REVISION, InvalidListRecord, ListChange, StoredList, reason_against
-from .list_files import EndpointListFiles
+from .list_files import EndpointListFiles, ListTooLong
 from .state_files import StateFiles
 
 _LOGGED_CLOCK_CHANGE_MS = 1_000.0  # synchronised clocks are set by less
@@ -29,8 +29,8 @@
     def __init__(self, folder: Path, incarnation: int, classes: Sequence[str], waits_outlast: bool = False) -> None:
         self._files, self._incarnation, self._classes = StateFiles(folder), incarnation, classes
         self._list_files = EndpointListFiles(folder)
-        self._list_saved_at = -_LIST_SAVE_INTERVAL_MS
-        self._list_problem: str | None = None  # with the last write of the list
+        self._list_tried_at = -_LIST_SAVE_INTERVAL_MS
+        self._list_problem, self._list_refused = "", False  # with the last write of the list; by the disk
         self._left_out: set[str] = set()  # parts of the state that did not fit and are logged
         self._waits_outlast = waits_outlast
         self._saved_at = -_SAVE_INTERVAL_MS
@@ -169,8 +169,9 @@
             logger.warning("the state takes {} bytes and is stored without a part: {}", size, part)
 
     def list_due(self, wall: float) -> bool:
-        """Whether the stored list has to be written again, unchanged, so that it does not count as old."""
-        return wall - self._list_saved_at >= _LIST_SAVE_INTERVAL_MS
+        """Whether the list has to be stored: once more, as the disk refused it, or unchanged, so that it does not count
+        as old."""
+        return wall - self._list_tried_at >= (_SAVE_INTERVAL_MS if self._list_refused else _LIST_SAVE_INTERVAL_MS)
 
     def save_list(
         self,
@@ -180,9 +181,11 @@
         changes: Sequence[dict[str, Any]],
         members: Callable[[], Sequence[dict[str, Any]]],
         moved: bool = False,
-    ) -> bool:
-        """Store the endpoint list; False if the disk refuses it. `changes`: the members that differ since the last
-        call, `members`: all, in the form that discovery returns. `moved`: discovery has another address."""
+    ) -> None:
+        """Store the endpoint list. `changes`: the members that differ since the last call, `members`: all, in the form
+        that discovery returns. `moved`: discovery has another address. What fails is logged, and due again if the disk
+        refused it; until then the next incarnation has the list from before."""
+        self._list_tried_at = wall
         now, stored_revision = clocks.now(wall), NO_REVISION if revision is None else revision
         try:
             if moved or self._list_files.needs_snapshot:
@@ -190,9 +193,8 @@
                 self._list_files.write_snapshot(StoredList(now, discovery, stored_revision, by_id))
             else:
                 self._list_files.append(ListChange(now, stored_revision, changes))
-            self._list_problem, self._list_saved_at = None, wall
-        except OSError as err:  # tried again; until then the next incarnation has the list from before
+            self._list_problem, self._list_refused = "", False
+        except OSError as err:
             if self._list_problem != str(err):
                 logger.warning("the endpoint list could not be stored: {}", err)
-            self._list_problem = str(err)
-        return self._list_problem is None
+            self._list_problem, self._list_refused = str(err), not isinstance(err, ListTooLong)
--- a/tests/orders/test_discovery_updates.py
+++ b/tests/orders/test_discovery_updates.py
@@ -71,11 +71,8 @@
             with mock.patch("calicohitch.recovery.list_files.write_all", side_effect=OSError(errno.ENOSPC, "full")):
                 world.change(member("127.0.0.1:1", "s-2"))
                 await until(lambda: relay._directory.number("s-2"))
-                await until(lambda: relay._list_changed)
-            await until(lambda: not relay._list_changed)
-            stored = self.stored(world, relay)
-            assert stored
-            self.assertEqual(set(stored.members), {"s-2"})
+                self.assertIsNone(self.stored(world, relay))
+            await until(lambda: (stored := self.stored(world, relay)) and set(stored.members) == {"s-2"})
 
 
 class Silence(unittest.TestCase):
--- a/tests/recovery/test_endpoint_list.py
+++ b/tests/recovery/test_endpoint_list.py
@@ -16,7 +16,7 @@
 from hypothesis import strategies as st
 
 from calicohitch.interface import RestoredState
-from calicohitch.recovery import clocks, list_files
+from calicohitch.recovery import clocks, list_files, state_cache
 from calicohitch.recovery.cached_state import CachedState, encode
 from calicohitch.recovery.clocks import Moment
 from calicohitch.recovery.endpoint_list import (
@@ -245,6 +245,17 @@
             assert found
             self.assertEqual(set(found.members), {expected})
 
+    def test_a_list_that_is_too_long_is_not_tried_again_at_once_nor_logged_twice(self) -> None:
+        found = self.cache(1e12)
+        with (
+            mock.patch.object(list_files, "MAX_SNAPSHOT_BYTES", 10),
+            mock.patch.object(state_cache.logger, "warning") as logged,
+        ):
+            for _ in range(2):
+                found.save_list(1e12, DISCOVERY, 41, (), lambda: [listed("s-1")])
+        self.assertFalse(found.list_due(1e12 + 1_000.0))
+        self.assertEqual(logged.call_count, 1)
+
     def test_a_damaged_list_does_not_prevent_a_start(self) -> None:
         for name in ("endpoints-0", "endpoints-1"):
             (self.folder / name).write_bytes(b"\xff" * 90)
@@ -254,7 +265,8 @@
             (self.folder / name).mkdir()
         found = self.cache(1e12)
         self.assertIsNone(found.endpoint_list)
-        self.assertFalse(found.save_list(1e12, DISCOVERY, 41, (), lambda: [listed("s-1")]))
+        found.save_list(1e12, DISCOVERY, 41, (), lambda: [listed("s-1")])
+        self.assertTrue(found.list_due(1e12 + 1_000.0))  # the disk refused it
         self.assertTrue(found.save(1e12, RestoredState((), ((0, 0),)), str))
 
 
