--- a/calicohitch/net/discovery.py
+++ b/calicohitch/net/discovery.py
@@ -294,7 +294,7 @@
         self._directory, self._notify = directory, notify
         self._version: int | None = None
         self._may_be_stale = False  # the list was restored and is not confirmed yet
-        self._failures = 0
+        self._failures, self._failure_logged = 0, False
         self._accept_stale_at: float | None = None  # when a stale discovery is taken as authoritative
         self._timeouts = timeouts
         self._address_changed = anyio.Event()  # set by `move`
@@ -329,9 +329,9 @@
             self._address_changed = anyio.Event()
             try:
                 await self._poll(requests)
-                if self._failures:
+                if self._failure_logged:
                     logger.info("discovery answers again, after {} failures", self._failures)
-                self._failures = 0
+                self._failures, self._failure_logged = 0, False
                 self._timeouts.answered()
             except Moved:
                 # The old address was left and the new one has not failed: no pause, since a change that is made during
@@ -346,7 +346,8 @@
 
     def _log_failure(self, error: Exception) -> None:
         """One line for a run of failures. A single request that is late is none: its response may still come."""
-        if self._failures == (1 if isinstance(error, TimeoutError) else 0):
+        if not self._failure_logged and (self._failures or not isinstance(error, TimeoutError)):
+            self._failure_logged = True
             logger.warning("discovery: {}: {}; the list stays as it is", type(error).__name__, error)
 
     async def _parse_ahead(self, response: Any) -> None:
