--- a/calicohitch/recovery/state_cache.py
+++ b/calicohitch/recovery/state_cache.py
@@ -195,6 +195,7 @@
                 self._list_files.append(ListChange(now, stored_revision, changes))
             self._list_problem, self._list_refused = "", False
         except OSError as err:
-            if self._list_problem != str(err):
+            problem = err.strerror or type(err).__name__  # the size of a list that is too long differs each time
+            if self._list_problem != problem:
                 logger.warning("the endpoint list could not be stored: {}", err)
-            self._list_problem, self._list_refused = str(err), not isinstance(err, ListTooLong)
+            self._list_problem, self._list_refused = problem, not isinstance(err, ListTooLong)
--- a/tests/recovery/test_endpoint_list.py
+++ b/tests/recovery/test_endpoint_list.py
@@ -251,8 +251,9 @@
             mock.patch.object(list_files, "MAX_SNAPSHOT_BYTES", 10),
             mock.patch.object(state_cache.logger, "warning") as logged,
         ):
-            for _ in range(2):
-                found.save_list(1e12, DISCOVERY, 41, (), lambda: [listed("s-1")])
+            for size in (1, 300):
+                members = [listed(f"s-{n}") for n in range(size)]
+                found.save_list(1e12, DISCOVERY, 41, (), lambda members=members: members)
         self.assertFalse(found.list_due(1e12 + 1_000.0))
         self.assertEqual(logged.call_count, 1)
 
