--- a/tests/fleet/scenarios.py
+++ b/tests/fleet/scenarios.py
@@ -386,8 +386,9 @@
         names = rig.random.sample(sorted(rig.relays), 6)
         rig.kill(*names)
         for name in names:
-            for path in rig.relays[name].state.glob("beliefs-*"):
-                path.unlink()
+            for stored in ("beliefs-*", "endpoints-*"):
+                for path in rig.relays[name].state.glob(stored):
+                    path.unlink()
         for dest in rig.dests.values():
             dest.limit = 30.0
         rig.story.tell("fault", what="limits as they were, and nothing stored of them")
