--- a/calicohitch/core/descriptor_budget.py
+++ b/calicohitch/core/descriptor_budget.py
@@ -5,6 +5,8 @@
 from collections import Counter
 from enum import Enum
 
+from .discovery_timeouts import MAX_AGENT_REQUESTS
+
 
 class DescriptorUse(Enum):
     """What descriptors are used for, in order of precedence: deliveries before intakes."""
@@ -19,18 +21,17 @@
 
 
 _FIXED = 21  # for the listener, notes between relays, the journal, the folder lease, epoll and the interpreter
-_DISCOVERY = 4  # requests that are out at once while it is slow
 
 
 def divide_descriptors(sockets: int, grpc: int = 0) -> DescriptorBudget:
     """The budget of a relay with `sockets` descriptors, `grpc` of them for gRPC: half are for clients, one each for
     notices and tracing, some for discovery, and the remainder for calls."""
-    clients, others = sockets // 2, _FIXED + 2 + _DISCOVERY + grpc
+    clients, others = sockets // 2, _FIXED + 2 + MAX_AGENT_REQUESTS + grpc
     calls = max(1, sockets - clients - others)
     reserved = {
         DescriptorUse.RELAY: _FIXED,
         DescriptorUse.NOTICES: 1,
-        DescriptorUse.DISCOVERY: _DISCOVERY,
+        DescriptorUse.DISCOVERY: MAX_AGENT_REQUESTS,
         DescriptorUse.TRACING: 1,
         DescriptorUse.GRPC: grpc,
         DescriptorUse.CALLS: calls,
--- a/calicohitch/core/discovery_timeouts.py
+++ b/calicohitch/core/discovery_timeouts.py
@@ -32,7 +32,7 @@
 _PUSHED_GRACE_S, _REQUESTED_GRACE_S = 0.7, 2.5  # beyond the wait of a request, before it times out
 _MAX_AGENT_PAUSE_S = 0.2  # after a time-out of the agent
 _MAX_REFUSED_PAUSE_S = 1.5  # after a refusal of the agent
-_MAX_AGENT_REQUESTS = 4  # at an agent that is slow
+MAX_AGENT_REQUESTS = 4  # at an agent that is slow
 
 
 class DiscoveryTimeouts:
@@ -41,7 +41,7 @@
     def __init__(self, asks_for_list: bool, backoff: Backoff) -> None:
         self._pushed, self._backoff = not asks_for_list, backoff
         self._failures = 0
-        self.most_requests = 1 if asks_for_list else _MAX_AGENT_REQUESTS
+        self.most_requests = 1 if asks_for_list else MAX_AGENT_REQUESTS
 
     def wait_ms(self, at_once: bool) -> int:
         """How long a watch is to wait for a change: not at all if the present list may be outdated, or, where lists are
--- a/calicohitch/net/connection_pool.py
+++ b/calicohitch/net/connection_pool.py
@@ -181,17 +181,18 @@
         response = _Provisional(confirmation, sent_at, answered_at, in_sync, self.is_suspect(endpoint))
         connection.drop_known()
         connection.provisional.append(response)
-        may_be_left_over = not (in_sync or self.evidence.is_plausible(endpoint, response.response_time_s))
-        connection.implausible += may_be_left_over and self.evidence.has_confirmed(endpoint)
+        connection.implausible += self._may_be_left_over(endpoint, response) and self.evidence.has_confirmed(endpoint)
         if self._is_trusted(endpoint, response) and not connection.implausible:
             connection.silent_from = min(connection.silent_from, answered_at + _MAX_SILENCE_S)
         while len(connection.provisional) > max(_MIN_LATER_RESPONSES, connection.implausible):
             self._confirm(connection, connection.provisional.popleft())
 
+    def _may_be_left_over(self, endpoint: int, response: _Provisional) -> bool:
+        """Whether the response may be an earlier call's, by what is confirmed of its endpoint by now."""
+        return not (response.in_sync or self.evidence.is_plausible(endpoint, response.response_time_s))
+
     def _is_trusted(self, endpoint: int, response: _Provisional) -> bool:
-        """Whether the response is no earlier call's, by what is confirmed of its endpoint by now."""
-        own = response.in_sync or self.evidence.is_plausible(endpoint, response.response_time_s)
-        return own and not response.suspect
+        return not (self._may_be_left_over(endpoint, response) or response.suspect)
 
     def _confirm(self, connection: PooledConnection, response: _Provisional) -> None:
         self.evidence.confirmed(connection.key[0], response.response_time_s)
